--- a/persimmoncrank/coordination/_config_keeper.py
+++ b/persimmoncrank/coordination/_config_keeper.py
@@ -272,6 +272,7 @@
     def _forget_peers(self) -> None:
         """Drop the versions of entries that count for nothing any more."""
         counted = {entry.incarnation for entry in self._snapshot.entries}
-        counted.update(self._snapshot.electors)
+        for group in self._snapshot.elector_groups:
+            counted.update(group)
         for incarnation in [p for p in self._peers if p not in counted]:
             del self._peers[incarnation]
--- a/persimmoncrank/coordination/_entry_membership.py
+++ b/persimmoncrank/coordination/_entry_membership.py
@@ -75,7 +75,10 @@
         async with anyio.create_task_group() as group:
             self._group = group
             group.start_soon(self._watch_agents)
-            group.start_soon(self._keep_syncs)
+            try:
+                await self._keep_syncs()
+            finally:
+                self._group = None
 
     async def heartbeat(self, message: Heartbeat) -> HeartbeatReply:
         """Answer an agent's heartbeat."""
@@ -200,6 +203,13 @@
                 await self._sync_once(peer)
                 await anyio.sleep(SYNC_INTERVAL_S)
 
+    async def sync_with_all(self) -> None:
+        """Sync once with every registered peer, so that all know what is accepted here."""
+        async with anyio.create_task_group() as group:
+            for entry in self._keeper.snapshot.entries:
+                if entry.incarnation != self._keeper.incarnation:
+                    group.start_soon(self._sync_once, entry)
+
     async def _sync_once(self, peer: EntryInfo) -> None:
         asked_at_s = anyio.current_time()
         request = SyncRequest(
--- a/persimmoncrank/coordination/_job_table.py
+++ b/persimmoncrank/coordination/_job_table.py
@@ -113,10 +113,16 @@
         """Run the admitted jobs until cancelled."""
         async with anyio.create_task_group() as group:
             self._group = group
-            while True:
-                await anyio.sleep(SWEEP_INTERVAL_S)
-                self._drop_expired()
-                await self._move_answers()
+            try:
+                await self._keep_bounds()
+            finally:
+                self._group = None
+
+    async def _keep_bounds(self) -> None:
+        while True:
+            await anyio.sleep(SWEEP_INTERVAL_S)
+            self._drop_expired()
+            await self._move_answers()
 
     def issue_ids(self, count: int) -> Result[tuple[str, ...], ServiceError]:
         """Issue a block of submission ids."""
--- a/persimmoncrank/coordination/_recovery.py
+++ b/persimmoncrank/coordination/_recovery.py
@@ -104,7 +104,8 @@
         return answer
 
     async def _wait_until_gone(self, issuer: str) -> bool:
-        if not await self._keeper.wait_for_proof(anyio.current_time()):
+        # The store is asked, since it knows every entry that could ever issue an id.
+        if (await self._keeper.poll_store()).is_err():
             return False
         with anyio.move_on_after(2 * CURRENCY_LIMIT_S * CLOCK_MARGIN):
             while not self._keeper.is_gone(issuer):
--- a/persimmoncrank/protocol/_config.py
+++ b/persimmoncrank/protocol/_config.py
@@ -45,15 +45,16 @@
 class ConfigSnapshot:
     """The whole configuration of a region at one version.
 
-    ``electors`` are the incarnations registered at the version before; this version is accepted
-    once more than half of them have acknowledged it. ``plan_id`` names the plan that wrote it.
+    ``elector_groups`` are the sets of entries registered at the version before, and at each version
+    before that which was not known as accepted then. This version is accepted once more than half
+    of each group have acknowledged it. ``plan_id`` names the plan that wrote it.
     ``operator_version`` is the version at which anything but ``entries`` changed last.
     """
 
     version: int = 0
     operator_version: int = 0
     plan_id: str = ""
-    electors: tuple[str, ...] = ()
+    elector_groups: tuple[tuple[str, ...], ...] = ()
     entries: tuple[EntryInfo, ...] = ()
     withdrawn_domains: tuple[str, ...] = ()
     retired_backends: tuple[str, ...] = ()
--- a/persimmoncrank/tests/faults.py
+++ b/persimmoncrank/tests/faults.py
@@ -78,7 +78,8 @@
         while handle.process.is_alive:
             await anyio.sleep(0.1)
     await anyio.sleep(REPLACED_AFTER_S)
-    world.start_entry(name, handle.process.domain)
+    if world.entries[name] is handle:
+        world.start_entry(name, handle.process.domain)
 
 
 async def _end_agent(world: World, fault: Fault) -> None:
@@ -91,7 +92,8 @@
         while handle.process.is_alive:
             await anyio.sleep(0.1)
     await anyio.sleep(REPLACED_AFTER_S)
-    world.start_agent(name, handle.process.domain, handle.options)
+    if world.agents[name] is handle:
+        world.start_agent(name, handle.process.domain, handle.options)
 
 
 async def _silence(world: World, fault: Fault) -> None:
--- a/persimmoncrank/tests/test_histories.py
+++ b/persimmoncrank/tests/test_histories.py
@@ -53,6 +53,7 @@
 
 async def heal(world: World) -> None:
     """Return what operators took out, and check that a new job is served."""
+    world.platform.faults.lost_answers = 0
     await settle(world, HEAL_S)
     entry = min(world.entries)
     held = world.entries[entry].node.keeper.snapshot
