--- a/persimmoncrank/coordination/_config_writer.py
+++ b/persimmoncrank/coordination/_config_writer.py
@@ -23,6 +23,7 @@
     encode_message,
     refusal,
 )
+from persimmoncrank.state import next_elector_groups
 
 log = logging.getLogger(__name__)
 
@@ -110,25 +111,15 @@
                 version=version,
                 operator_version=version if is_operators else old.operator_version,
                 plan_id=plan_id,
-                elector_groups=self._elector_groups(old, new, is_forced),
+                elector_groups=next_elector_groups(
+                    old,
+                    new.entries,
+                    is_accepted=self._keeper.accepted_version >= old.version,
+                    is_forced=is_forced,
+                ),
             )
         )
 
-    def _elector_groups(
-        self, old: ConfigSnapshot, new: ConfigSnapshot, is_forced: bool
-    ) -> tuple[tuple[str, ...], ...]:
-        """Return the groups of which a majority each has to acknowledge the new version."""
-        is_accepted = self._keeper.accepted_version >= old.version
-        if is_forced:
-            return (tuple(entry.incarnation for entry in new.entries),)
-        if is_accepted and not new.entries:
-            # The last entry acknowledges its own removal by writing it.
-            return ()
-        registered = tuple(entry.incarnation for entry in old.entries)
-        earlier = () if is_accepted else old.elector_groups
-        groups = dict.fromkeys((*earlier, registered))
-        return tuple(group for group in groups if group)
-
     async def _read_base(self) -> Result[_Base, ServiceError]:
         head = await self._table.get(self._keys.head)
         snapshot = await self._table.get(self._keys.snapshot)
--- a/persimmoncrank/state/__init__.py
+++ b/persimmoncrank/state/__init__.py
@@ -16,6 +16,7 @@
     majority,
     majority_proof,
     missing_acknowledgements,
+    next_elector_groups,
 )
 from persimmoncrank.state._service_times import ServiceTimes
 from persimmoncrank.state._start_records import StartRecords, TaskKey, is_settled
@@ -41,4 +42,5 @@
     "majority",
     "majority_proof",
     "missing_acknowledgements",
+    "next_elector_groups",
 ]
--- a/persimmoncrank/state/_currency.py
+++ b/persimmoncrank/state/_currency.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from persimmoncrank.protocol import ConfigSnapshot
+    from persimmoncrank.protocol import ConfigSnapshot, EntryInfo
 
 log = logging.getLogger(__name__)
 
@@ -110,3 +110,26 @@
         snapshot=snapshot, self_incarnation=self_incarnation, peers=peers
     )
     return not missing
+
+
+def next_elector_groups(
+    old: ConfigSnapshot,
+    entries: tuple[EntryInfo, ...],
+    *,
+    is_accepted: bool,
+    is_forced: bool = False,
+) -> tuple[tuple[str, ...], ...]:
+    """Return the groups of which a majority each has to acknowledge the version after ``old``.
+
+    ``is_accepted`` tells whether ``old`` is known as accepted; if not, its groups are carried on. A
+    forced version is counted over its own entries alone, since a majority before it is lost.
+    """
+    if is_forced:
+        return (tuple(entry.incarnation for entry in entries),)
+    if is_accepted and not entries:
+        # The last entry acknowledges its own removal by writing it.
+        return ()
+    registered = tuple(entry.incarnation for entry in old.entries)
+    earlier = () if is_accepted else old.elector_groups
+    groups = dict.fromkeys((*earlier, registered))
+    return tuple(group for group in groups if group)
