--- a/persimmoncrank/tests/invariants.py
+++ b/persimmoncrank/tests/invariants.py
@@ -73,6 +73,12 @@
         assert versions == sorted(versions), f"{process} held {versions}"
 
 
+def check_planned_stops_cut_nothing(history: History) -> None:
+    """Check that every job was answered whole, in a run with no faults but planned stops."""
+    failed = [answered for answered in history.answers if not answered.is_complete]
+    assert not failed, f"cut off: {[(a.spec.submission_id, a.error) for a in failed]}"
+
+
 ALL_INVARIANTS = (
     check_at_most_once,
     check_whole_answers,
