--- a/persimmoncrank/cli.py
+++ b/persimmoncrank/cli.py
@@ -33,6 +33,53 @@
 
 Example: persimmoncrank submit --entry http://127.0.0.1:8080 job.json
 """
+HELP_STATUS = """Show what an entry knows: versions, entries and agents.
+
+Example: persimmoncrank status --entry http://127.0.0.1:8080
+"""
+HELP_PLAN = """Ask for a plan, look at it, and confirm it. Nothing changes before.
+
+Example: persimmoncrank plan withdraw-domain monza
+"""
+HELP_PLAN_SHOW = """Show a plan and how far it has come.
+
+Example: persimmoncrank plan show plan-72a72ef213
+"""
+HELP_PLAN_CONFIRM = """Make a plan take effect. Confirming it again changes nothing.
+
+Example: persimmoncrank plan confirm plan-72a72ef213
+"""
+HELP_ADD_CUSTOMER = """Add a customer's commitment, or change it.
+
+Example: persimmoncrank plan add-customer passeggiate --kind walker-check-in --domain monza
+"""
+HELP_SET_LIMIT = """Change a limit.
+
+Example: persimmoncrank plan set-limit max_tasks_per_job 500
+"""
+HELP_TARGETS = {
+    "end-customer": ("CUSTOMER", "End a customer's commitment.", "passeggiate"),
+    "withdraw-domain": ("DOMAIN", "Take a failure domain out: no task starts there.", "monza"),
+    "return-domain": ("DOMAIN", "Let tasks start in a failure domain again.", "monza"),
+    "retire-backend": ("BACKEND", "Give a backend server no new work.", "backend-3"),
+    "return-backend": ("BACKEND", "Give a backend server work again.", "backend-3"),
+    "expel": (
+        "ENTRIES",
+        "Remove lost entries, separated by commas: nothing starts under them.",
+        "entry-monza-1f2e3d4c",
+    ),
+}
+HELP_OPT_KIND = "A kind that the commitment covers; may be repeated."
+HELP_OPT_DOMAIN = "A failure domain where the work may run; may be repeated; default: any."
+HELP_BENCH = """Measure the system.
+
+Example: persimmoncrank bench live --agents 10
+"""
+HELP_BENCH_LIVE = """Run real processes on loopback and report CPU, bytes and memory by role.
+
+Example: persimmoncrank bench live --agents 50 --jobs-per-s 10 --json
+"""
+HELP_OPT_JOBS_PER_S = "Jobs submitted each second; 0 measures control alone."
 HELP_DEMO = """Run the whole system in one process and submit the example jobs.
 
 Example: persimmoncrank demo
@@ -130,6 +177,119 @@
     _print(command.submit(settings))
 
 
+@cli.command(help=HELP_STATUS)
+@entry_option
+@json_option
+def status(entry_url: str, is_json: bool) -> None:
+    """Show an entry's status."""
+    from persimmoncrank.commands import status as command
+
+    _print(command.status(command.StatusSettings(entry_url=entry_url, is_json=is_json)))
+
+
+@cli.group(help=HELP_PLAN)
+def plan() -> None:
+    """Handle plans."""
+
+
+@plan.command("show", help=HELP_PLAN_SHOW)
+@click.argument("plan_id")
+@entry_option
+@json_option
+def plan_show(plan_id: str, entry_url: str, is_json: bool) -> None:
+    """Show a plan."""
+    from persimmoncrank.commands import plan as command
+
+    _print(command.show(command.PlanSettings(entry_url=entry_url, is_json=is_json), plan_id))
+
+
+@plan.command("confirm", help=HELP_PLAN_CONFIRM)
+@click.argument("plan_id")
+@entry_option
+@json_option
+def plan_confirm(plan_id: str, entry_url: str, is_json: bool) -> None:
+    """Confirm a plan."""
+    from persimmoncrank.commands import plan as command
+
+    _print(command.confirm(command.PlanSettings(entry_url=entry_url, is_json=is_json), plan_id))
+
+
+@plan.command("add-customer", help=HELP_ADD_CUSTOMER)
+@click.argument("customer")
+@click.option("--kind", "kinds", multiple=True, required=True, help=HELP_OPT_KIND)
+@click.option("--domain", "domains", multiple=True, help=HELP_OPT_DOMAIN)
+@entry_option
+@json_option
+def plan_add_customer(
+    customer: str, kinds: tuple[str, ...], domains: tuple[str, ...], entry_url: str, is_json: bool
+) -> None:
+    """Propose to add a customer."""
+    _propose("add-customer", customer, entry_url, is_json, kinds=kinds, domains=domains)
+
+
+@plan.command("set-limit", help=HELP_SET_LIMIT)
+@click.argument("limit")
+@click.argument("value", type=float)
+@entry_option
+@json_option
+def plan_set_limit(limit: str, value: float, entry_url: str, is_json: bool) -> None:
+    """Propose to change a limit."""
+    _propose("set-limit", limit, entry_url, is_json, value=value)
+
+
+def _add_target_command(name: str, metavar: str, help_text: str, example: str) -> None:
+    """Add a command that proposes an intent with nothing but a target."""
+    full_help = f"{help_text}\n\nExample: persimmoncrank plan {name} {example}"
+
+    @plan.command(name, help=full_help)
+    @click.argument("target", metavar=metavar)
+    @entry_option
+    @json_option
+    def command(target: str, entry_url: str, is_json: bool) -> None:
+        _propose(name, target, entry_url, is_json)
+
+
+for _name, (_metavar, _help, _example) in HELP_TARGETS.items():
+    _add_target_command(_name, _metavar, _help, _example)
+
+
+def _propose(kind: str, target: str, entry_url: str, is_json: bool, **details: Any) -> None:
+    from persimmoncrank.commands import plan as command
+    from persimmoncrank.protocol import Intent, IntentKind
+
+    settings = command.PlanSettings(entry_url=entry_url, is_json=is_json)
+    _print(command.propose(settings, Intent(kind=IntentKind(kind), target=target, **details)))
+
+
+@cli.group(help=HELP_BENCH)
+def bench() -> None:
+    """Measure the system."""
+
+
+@bench.command("live", help=HELP_BENCH_LIVE)
+@click.option("--entries", default=3, show_default=True, type=click.IntRange(1, 20))
+@click.option("--agents", default=10, show_default=True, type=click.IntRange(1, 300))
+@click.option("--slots", default=8, show_default=True, type=click.IntRange(1))
+@click.option("--idle-s", default=10.0, show_default=True, type=click.FloatRange(1))
+@click.option("--load-s", default=10.0, show_default=True, type=click.FloatRange(1))
+@click.option(
+    "--jobs-per-s",
+    default=0.0,
+    show_default=True,
+    type=click.FloatRange(0),
+    help=HELP_OPT_JOBS_PER_S,
+)
+@click.option("--tasks", default=170, show_default=True, type=click.IntRange(1, 1_000))
+@click.option("--work-ms", default=50, show_default=True, type=click.IntRange(0))
+@json_option
+def bench_live(is_json: bool, **options: Any) -> None:
+    """Measure real processes."""
+    from persimmoncrank.bench import LiveSettings
+    from persimmoncrank.commands import bench as command
+
+    click.echo(command.live(LiveSettings(**options), is_json=is_json))
+
+
 @cli.command(help=HELP_DEMO)
 @click.option("-v", "--verbose", "is_verbose", is_flag=True, help=HELP_OPT_VERBOSE)
 def demo(is_verbose: bool) -> None:
--- /dev/null
+++ b/persimmoncrank/commands/bench.py
@@ -0,0 +1,53 @@
+"""The commands of the group ``bench``."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from persimmoncrank.bench import run_live
+
+if TYPE_CHECKING:
+    from persimmoncrank.bench import LiveReport, LiveSettings
+
+log = logging.getLogger(__name__)
+
+MIB = 1024 * 1024
+
+
+def live(settings: LiveSettings, *, is_json: bool) -> str:
+    """Run real processes on loopback and return what they cost."""
+    report = run_live(settings)
+    if is_json:
+        return msgspec.json.format(msgspec.json.encode(report)).decode()
+    return "\n".join(describe_live(report))
+
+
+def describe_live(report: LiveReport) -> list[str]:
+    """Return a live report as a readable table."""
+    lines = [f"{'phase':<6} {'role':<10} {'processes':>9} {'cpu of a core':>14} {'memory MiB':>11}"]
+    phases = {"idle": report.idle, "load": report.load_phase}
+    for name, phase in phases.items():
+        if phase is None:
+            continue
+        for role, cost in phase.roles.items():
+            memory_mib = cost.max_memory_bytes / MIB
+            lines.append(
+                f"{name:<6} {role:<10} {cost.processes:>9} {cost.cpu_share:>13.2%}"
+                f" {memory_mib:>11.1f}"
+            )
+    lines.append(f"control bytes/s for each agent: {report.idle_bytes_per_s_per_agent:.0f}")
+    if report.load is not None:
+        load = report.load
+        lines.append(
+            f"jobs complete {load.jobs_complete}, failed {load.jobs_failed};"
+            f" tasks/s {load.tasks_per_s:.0f}"
+        )
+        lines.append(f"latency p50 {load.latency_p50_ms:.1f} ms, p99 {load.latency_p99_ms:.1f} ms")
+        lines.append(
+            f"cpu for each task: entry {load.entry_cpu_us_per_task:.0f} us,"
+            f" agent {load.agent_cpu_us_per_task:.0f} us"
+        )
+    return lines
--- /dev/null
+++ b/persimmoncrank/commands/plan.py
@@ -0,0 +1,94 @@
+"""The commands of the group ``plan``: propose, show and confirm."""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import asdict, dataclass
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from result import Err, Ok, Result
+
+from persimmoncrank.commands._api import ApiFailure, call_api
+
+if TYPE_CHECKING:
+    from persimmoncrank.protocol import Intent
+
+log = logging.getLogger(__name__)
+
+CONFLICT = "conflict"
+
+_STATES = {
+    "proposed": "proposed; nothing has changed yet",
+    "pending": "pending: written, and not yet acknowledged by a majority of the entries",
+    "accepted": "accepted: it is in force everywhere within the currency limit",
+    "in_force": "in force everywhere",
+}
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PlanSettings:
+    """Which entry to ask, and how to print its answer."""
+
+    entry_url: str
+    is_json: bool = False
+
+
+def propose(settings: PlanSettings, intent: Intent) -> Result[str, str]:
+    """Ask for a plan and describe it."""
+    answer = call_api(settings.entry_url, "POST", "/v1/plans", asdict(intent))
+    return _describe(settings, answer)
+
+
+def show(settings: PlanSettings, plan_id: str) -> Result[str, str]:
+    """Describe a plan and how far it has come."""
+    return _describe(settings, call_api(settings.entry_url, "GET", f"/v1/plans/{plan_id}"))
+
+
+def confirm(settings: PlanSettings, plan_id: str) -> Result[str, str]:
+    """Make a plan take effect; after a conflict the error shows a fresh plan."""
+    answer = call_api(settings.entry_url, "POST", f"/v1/plans/{plan_id}/confirm")
+    if answer.is_err() and answer.unwrap_err().kind == CONFLICT:
+        return Err(_fresh_plan(settings, plan_id, answer.unwrap_err()))
+    return _describe(settings, answer)
+
+
+def _fresh_plan(settings: PlanSettings, plan_id: str, conflict: ApiFailure) -> str:
+    """Return what to tell an operator who lost a race."""
+    rejected = f"plan {plan_id} is rejected: {conflict.message}"
+    shown = call_api(settings.entry_url, "GET", f"/v1/plans/{plan_id}")
+    if shown.is_err():
+        return rejected
+    intent = shown.unwrap()["plan"]["intent"]
+    fresh = call_api(settings.entry_url, "POST", "/v1/plans", intent)
+    if fresh.is_err():
+        return f"{rejected}; no fresh plan: {fresh.unwrap_err().message}"
+    return "\n".join((rejected, "a fresh plan:", *describe_plan(fresh.unwrap())))
+
+
+def _describe(settings: PlanSettings, answer: Result[Any, ApiFailure]) -> Result[str, str]:
+    match answer:
+        case Err(failure):
+            return Err(str(failure))
+        case Ok(report) if settings.is_json:
+            return Ok(msgspec.json.format(msgspec.json.encode(report)).decode())
+        case Ok(report):
+            return Ok("\n".join(describe_plan(report)))
+
+
+def describe_plan(report: Any) -> list[str]:
+    """Return a plan in readable lines."""
+    plan = report["plan"]
+    lines = [f"plan {plan['plan_id']}: {_STATES[report['state']]}"]
+    lines += [f"  change: {change}" for change in plan["changes"]]
+    lines.append(f"  slots that may start tasks: {plan['slots_before']} -> {plan['slots_after']}")
+    lines += [f"  no longer met: {unmet}" for unmet in plan["unmet_commitments"]]
+    lines += [f"  risk: {risk}" for risk in plan["risks"]]
+    lines.append(f"  base version: {plan['base_version']}")
+    if report["version"] is not None:
+        lines.append(f"  written as version: {report['version']}")
+    if report["waiting_for"]:
+        lines.append(f"  waiting for: {', '.join(report['waiting_for'])}")
+    if report["state"] == "proposed":
+        lines.append(f"  to confirm: persimmoncrank plan confirm {plan['plan_id']}")
+    return lines
