--- a/persimmoncrank/bench/_live.py
+++ b/persimmoncrank/bench/_live.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import socket
 import tempfile
 import time
 from dataclasses import dataclass
@@ -14,8 +13,10 @@
 import httpcore
 import msgspec
 from hdrh.histogram import HdrHistogram
+from result import Err, Ok, Result
 
 from persimmoncrank.bench._processes import Processes, Usage
+from persimmoncrank.standin import free_addresses
 
 log = logging.getLogger(__name__)
 
@@ -97,12 +98,12 @@
     seeds: tuple[str, ...]
 
 
-def run_live(settings: LiveSettings) -> LiveReport:
+def run_live(settings: LiveSettings) -> Result[LiveReport, str]:
     """Start the processes, measure, and end them."""
     return anyio.run(_run, settings)
 
 
-async def _run(settings: LiveSettings) -> LiveReport:
+async def _run(settings: LiveSettings) -> Result[LiveReport, str]:
     with tempfile.TemporaryDirectory(prefix="persimmoncrank-bench-") as folder:
         processes = Processes(log_dir=Path(folder))
         try:
@@ -115,8 +116,10 @@
 
 async def _measure(
     settings: LiveSettings, processes: Processes, site: _Site, pool: httpcore.AsyncConnectionPool
-) -> LiveReport:
-    await _wait_until_ready(settings, site, pool)
+) -> Result[LiveReport, str]:
+    ready = await _wait_until_ready(settings, processes, site, pool)
+    if ready.is_err():
+        return Err(ready.unwrap_err())
     await _add_customer(site, pool)
     await anyio.sleep(SETTLE_S)
     before = processes.read()
@@ -124,19 +127,22 @@
     idle = _phase(before, processes.read(), settings.idle_s)
     per_agent = idle.loopback_bytes_per_s / max(settings.agents, 1)
     if settings.jobs_per_s <= 0:
-        return LiveReport(settings=settings, idle=idle, idle_bytes_per_s_per_agent=per_agent)
+        report = LiveReport(settings=settings, idle=idle, idle_bytes_per_s_per_agent=per_agent)
+        return Ok(report)
     load = _Load(settings=settings, site=site, pool=pool)
     before = processes.read()
     started_at_s = time.monotonic()
     await load.run()
     seconds = time.monotonic() - started_at_s
     phase = _phase(before, processes.read(), seconds)
-    return LiveReport(
-        settings=settings,
-        idle=idle,
-        idle_bytes_per_s_per_agent=per_agent,
-        load_phase=phase,
-        load=load.report(phase),
+    return Ok(
+        LiveReport(
+            settings=settings,
+            idle=idle,
+            idle_bytes_per_s_per_agent=per_agent,
+            load_phase=phase,
+            load=load.report(phase),
+        )
     )
 
 
@@ -157,17 +163,8 @@
     )
 
 
-def _free_addresses(count: int) -> list[str]:
-    """Return loopback addresses whose ports were free a moment ago."""
-    listeners = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    addresses = [f"127.0.0.1:{listener.getsockname()[1]}" for listener in listeners]
-    for listener in listeners:
-        listener.close()
-    return addresses
-
-
 def _start(settings: LiveSettings, processes: Processes, folder: Path) -> _Site:
-    addresses = _free_addresses(1 + 2 * settings.entries + 3 * settings.agents)
+    addresses = free_addresses(1 + 2 * settings.entries + 3 * settings.agents)
     platform = addresses.pop()
     processes.start("platform", "persimmoncrank.standin", "platform", platform)
     entry_http = [addresses.pop() for _ in range(settings.entries)]
@@ -181,7 +178,14 @@
         _start_role(processes, folder, "entry", number, text)
     seeds = tuple(entry_rpc)
     for number, backend in enumerate(backends):
-        text = _agent_toml(settings, number, backend, addresses.pop(), addresses.pop(), seeds)
+        text = _agent_toml(
+            settings,
+            number=number,
+            backend=backend,
+            http=addresses.pop(),
+            rpc=addresses.pop(),
+            seeds=seeds,
+        )
         _start_role(processes, folder, "agent", number, text)
     urls = tuple(f"http://{address}" for address in entry_http)
     return _Site(platform=platform, entry_urls=urls, seeds=seeds)
@@ -206,7 +210,13 @@
 
 
 def _agent_toml(
-    settings: LiveSettings, number: int, backend: str, http: str, rpc: str, seeds: tuple[str, ...]
+    settings: LiveSettings,
+    *,
+    number: int,
+    backend: str,
+    http: str,
+    rpc: str,
+    seeds: tuple[str, ...],
 ) -> str:
     quoted = ", ".join(f'"{seed}"' for seed in seeds)
     return "\n".join(
@@ -233,12 +243,14 @@
 
 
 async def _wait_until_ready(
-    settings: LiveSettings, site: _Site, pool: httpcore.AsyncConnectionPool
-) -> None:
-    with anyio.fail_after(READY_TIMEOUT_S):
+    settings: LiveSettings, processes: Processes, site: _Site, pool: httpcore.AsyncConnectionPool
+) -> Result[None, str]:
+    with anyio.move_on_after(READY_TIMEOUT_S):
         for url in site.entry_urls:
             while not await _is_ready(settings, url, pool):
                 await anyio.sleep(READY_POLL_INTERVAL_S)
+        return Ok(None)
+    return Err(f"not ready after {READY_TIMEOUT_S:g} s; {processes.describe_exited()}")
 
 
 async def _is_ready(settings: LiveSettings, url: str, pool: httpcore.AsyncConnectionPool) -> bool:
--- a/persimmoncrank/bench/_processes.py
+++ b/persimmoncrank/bench/_processes.py
@@ -68,6 +68,19 @@
             for process in processes:
                 _wait_or_kill(process)
 
+    def describe_exited(self) -> str:
+        """Return which processes have exited, with the last line of the first one's log."""
+        exited = [
+            f"{role}-{number}"
+            for role, found in self.by_role.items()
+            for number, process in enumerate(found)
+            if process.poll() is not None
+        ]
+        if not exited:
+            return "every process is running"
+        lines = (self.log_dir / f"{exited[0]}.log").read_text().splitlines() or [""]
+        return f"exited: {', '.join(exited)}; {exited[0]}: {lines[-1]}"
+
     def read(self) -> Usage:
         """Return what has been used since the start."""
         received_bytes, packets = _read_loopback()
--- a/persimmoncrank/cli.py
+++ b/persimmoncrank/cli.py
@@ -287,7 +287,7 @@
     from persimmoncrank.bench import LiveSettings
     from persimmoncrank.commands import bench as command
 
-    click.echo(command.live(LiveSettings(**options), is_json=is_json))
+    _print(command.live(LiveSettings(**options), is_json=is_json))
 
 
 @cli.command(help=HELP_DEMO)
--- a/persimmoncrank/commands/bench.py
+++ b/persimmoncrank/commands/bench.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 import msgspec
+from result import Err, Ok, Result
 
 from persimmoncrank.bench import run_live
 
@@ -17,12 +18,15 @@
 MIB = 1024 * 1024
 
 
-def live(settings: LiveSettings, *, is_json: bool) -> str:
+def live(settings: LiveSettings, *, is_json: bool) -> Result[str, str]:
     """Run real processes on loopback and return what they cost."""
-    report = run_live(settings)
+    ran = run_live(settings)
+    if ran.is_err():
+        return Err(ran.unwrap_err())
+    report = ran.unwrap()
     if is_json:
-        return msgspec.json.format(msgspec.json.encode(report)).decode()
-    return "\n".join(describe_live(report))
+        return Ok(msgspec.json.format(msgspec.json.encode(report)).decode())
+    return Ok("\n".join(describe_live(report)))
 
 
 def describe_live(report: LiveReport) -> list[str]:
--- a/persimmoncrank/commands/demo.py
+++ b/persimmoncrank/commands/demo.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import socket
 from collections import Counter
 from dataclasses import dataclass
 from importlib.resources import files
@@ -19,7 +18,13 @@
 from persimmoncrank.commands._roles import serve_agent, serve_entry
 from persimmoncrank.commands.submit import describe_answer
 from persimmoncrank.settings import AgentSettings, EntrySettings, LogFormat, LogLevel
-from persimmoncrank.standin import WORK, BackendStandin, MemoryPlatform, platform_app
+from persimmoncrank.standin import (
+    WORK,
+    BackendStandin,
+    MemoryPlatform,
+    free_addresses,
+    platform_app,
+)
 from persimmoncrank.transport import serve_http
 
 if TYPE_CHECKING:
@@ -47,12 +52,6 @@
     return anyio.run(_demo)
 
 
-def free_address() -> str:
-    """Return a loopback address whose port was free a moment ago."""
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return f"127.0.0.1:{listener.getsockname()[1]}"
-
-
 async def _demo() -> Result[None, str]:
     stop_entries, stop_agents = anyio.Event(), anyio.Event()
     backends = [
@@ -60,7 +59,7 @@
         for number, slowness in enumerate(SLOWNESS, 1)
     ]
     async with anyio.create_task_group() as servers:
-        platform_address = free_address()
+        platform_address = free_addresses(1)[0]
         await servers.start(_serve_platform, platform_address)
         entries = [_entry_settings(domain, platform_address) for domain in DOMAINS]
         async with anyio.create_task_group() as entry_group:
@@ -68,7 +67,7 @@
                 entry_group.start_soon(serve_entry, entry, stop_entries)
             async with anyio.create_task_group() as agent_group:
                 for number, backend in enumerate(backends):
-                    address = free_address()
+                    address = free_addresses(1)[0]
                     await servers.start(_serve_backend, backend, address)
                     agent = _agent_settings(number, backend, address, entries)
                     agent_group.start_soon(serve_agent, agent, stop_agents)
@@ -98,8 +97,8 @@
         name=f"entry-{domain}",
         domain=domain,
         platform_url=f"http://{platform_address}",
-        http_address=free_address(),
-        rpc_address=free_address(),
+        http_address=free_addresses(1)[0],
+        rpc_address=free_addresses(1)[0],
     )
 
 
@@ -113,8 +112,8 @@
         backend_url=f"http://{backend_address}",
         kinds=tuple(WORK),
         seeds=tuple(entry.rpc_address for entry in entries),
-        rpc_address=free_address(),
-        http_address=free_address(),
+        rpc_address=free_addresses(1)[0],
+        http_address=free_addresses(1)[0],
     )
 
 
--- a/persimmoncrank/coordination/_config_keeper.py
+++ b/persimmoncrank/coordination/_config_keeper.py
@@ -76,6 +76,8 @@
         self._absent_since_s: dict[str, float] = {}
         self._accepted_at_s = NEVER_S
         self._changed = anyio.Event()
+        self._is_store_reachable = False
+        self._poll_asked = anyio.Event()
 
     @property
     def incarnation(self) -> str:
@@ -135,16 +137,9 @@
             return False
         return anyio.current_time() - since_s >= CURRENCY_LIMIT_S * CLOCK_MARGIN
 
-    async def wait_for_proof(self, after_s: float) -> bool:
-        """Wait until a proof was obtained by a question sent after an instant.
-
-        Returns False if that took longer than the currency limit.
-        """
-        with anyio.move_on_after(CURRENCY_LIMIT_S):
-            while self._currency.proved_at_s < after_s:
-                await self._changed.wait()
-            return True
-        return False
+    async def wait_for_change(self) -> None:
+        """Wait until something was learned, be it a version, a proof or an acceptance."""
+        await self._changed.wait()
 
     async def wait_for_acceptance(self, version: int, timeout_s: float) -> bool:
         """Wait until a version is accepted; return False if that took too long."""
@@ -155,10 +150,22 @@
         return False
 
     async def run(self) -> None:
-        """Read the store's version row at intervals until cancelled."""
+        """Read the store's version row at intervals, or when asked to, until cancelled."""
         while True:
-            await self.poll_store()
-            await anyio.sleep(STORE_POLL_INTERVAL_S)
+            self._poll_asked = anyio.Event()
+            polled = await self.poll_store()
+            self._is_store_reachable = polled.is_ok()
+            with anyio.move_on_after(STORE_POLL_INTERVAL_S):
+                await self._poll_asked.wait()
+
+    @property
+    def is_store_reachable(self) -> bool:
+        """Whether the store has answered the last time it was asked."""
+        return self._is_store_reachable
+
+    def ask_for_poll(self) -> None:
+        """Read the store soon, because a peer holds a newer version."""
+        self._poll_asked.set()
 
     async def poll_store(self) -> Result[int, StoreError]:
         """Read the version row, and the snapshot if it is newer; return the store's version."""
--- a/persimmoncrank/coordination/_entry_membership.py
+++ b/persimmoncrank/coordination/_entry_membership.py
@@ -34,7 +34,10 @@
 
 log = logging.getLogger(__name__)
 
-SYNC_INTERVAL_S = 0.5
+SYNC_INTERVAL_S = 1.0
+SYNC_INTERVAL_WITHOUT_STORE_S = 0.5
+PEERS_CHECK_INTERVAL_S = 0.5
+ACCEPTANCE_SYNC_INTERVAL_S = 0.15
 SYNC_TIMEOUT_S = 1.0
 SWEEP_INTERVAL_S = 0.5
 SUSPECT_AFTER_S = 2.5
@@ -155,7 +158,8 @@
         for view in self._views.all():
             if self._keeper.incarnation in view.reports:
                 self._judge(view, now_s)
-            if view.status == AgentStatus.GONE and now_s - view.heard_at_s > FORGET_AFTER_S:
+            is_long_silent = now_s - view.heard_at_s > FORGET_AFTER_S
+            if is_long_silent and view.status == AgentStatus.GONE:
                 self._views.forget(view.info.incarnation)
                 self._registered.discard(view.info.incarnation)
 
@@ -188,7 +192,7 @@
                 for incarnation in peers.keys() - running.keys():
                     running[incarnation] = anyio.CancelScope()
                     group.start_soon(self._sync_with, peers[incarnation], running[incarnation])
-                await anyio.sleep(SYNC_INTERVAL_S)
+                await anyio.sleep(PEERS_CHECK_INTERVAL_S)
 
     def _forget_peer(self, incarnation: str) -> None:
         self._views.drop_reports(incarnation)
@@ -201,7 +205,13 @@
         with scope:
             while True:
                 await self._sync_once(peer)
-                await anyio.sleep(SYNC_INTERVAL_S)
+                await anyio.sleep(self._sync_interval_s())
+
+    def _sync_interval_s(self) -> float:
+        """Return the pause between syncs; without the store they are what proves currency."""
+        if self._keeper.is_store_reachable:
+            return SYNC_INTERVAL_S
+        return SYNC_INTERVAL_WITHOUT_STORE_S
 
     async def sync_with_all(self) -> None:
         """Sync once with every registered peer, so that all know what is accepted here."""
@@ -210,6 +220,18 @@
                 if entry.incarnation != self._keeper.incarnation:
                     group.start_soon(self._sync_once, entry)
 
+    async def gather_acceptance(self, version: int, timeout_s: float) -> bool:
+        """Ask all peers for their acknowledgement of a version until it is accepted.
+
+        Returns whether it was accepted in time.
+        """
+        with anyio.move_on_after(timeout_s):
+            while self._keeper.accepted_version < version:
+                await self.sync_with_all()
+                await self._keeper.wait_for_acceptance(version, ACCEPTANCE_SYNC_INTERVAL_S)
+            return True
+        return False
+
     async def _sync_once(self, peer: EntryInfo) -> None:
         asked_at_s = anyio.current_time()
         request = SyncRequest(
@@ -246,6 +268,8 @@
         """Answer a peer's question."""
         self._keeper.learn_acceptance(message.accepted_version)
         held = self._keeper.snapshot
+        if message.version > held.version:
+            self._keeper.ask_for_poll()
         since = message.since if message.since <= self._views.position else 0
         return SyncReply(
             entry=self._keeper.incarnation,
--- a/persimmoncrank/coordination/_entry_node.py
+++ b/persimmoncrank/coordination/_entry_node.py
@@ -103,6 +103,7 @@
         )
         self.plans = Plans(
             keeper=self.keeper,
+            membership=self.membership,
             writer=writer,
             views=self.views,
             table=ports.table,
--- a/persimmoncrank/coordination/_plans.py
+++ b/persimmoncrank/coordination/_plans.py
@@ -32,6 +32,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from persimmoncrank.coordination._entry_membership import EntryMembership
     from persimmoncrank.state import AgentViews
 
 log = logging.getLogger(__name__)
@@ -48,6 +49,7 @@
         self,
         *,
         keeper: ConfigKeeper,
+        membership: EntryMembership,
         writer: ConfigWriter,
         views: AgentViews,
         table: TableService,
@@ -55,6 +57,7 @@
     ) -> None:
         """Create the operators' side of an entry."""
         self._keeper = keeper
+        self._membership = membership
         self._writer = writer
         self._views = views
         self._table = table
@@ -148,7 +151,7 @@
             log.info("plans: not confirmed plan=%s cause=%s", plan_id, error.message)
             return Err(error)
         version = written.unwrap().version
-        await self._keeper.wait_for_acceptance(version, ACCEPTANCE_WAIT_S)
+        await self._membership.gather_acceptance(version, ACCEPTANCE_WAIT_S)
         report = self._report(plan, version)
         log.info("plans: confirmed plan=%s version=%d state=%s", plan_id, version, report.state)
         return Ok(report)
--- a/persimmoncrank/coordination/_registration.py
+++ b/persimmoncrank/coordination/_registration.py
@@ -81,7 +81,7 @@
         removed = await self._remove(self._info.incarnation, "deregister")
         if removed:
             version = self._keeper.snapshot.version
-            await self._keeper.wait_for_acceptance(version, ACCEPTANCE_WAIT_S)
+            await self._membership.gather_acceptance(version, ACCEPTANCE_WAIT_S)
             await self._membership.sync_with_all()
 
     async def _remove(self, incarnation: str, verb: str) -> bool:
@@ -126,4 +126,4 @@
     async def wait_until_expelled(self) -> None:
         """Return once this entry is not registered any more."""
         while self._keeper.is_registered(self._info.incarnation):
-            await anyio.sleep(RETRY_INTERVAL_S)
+            await self._keeper.wait_for_change()
--- a/persimmoncrank/standin/__init__.py
+++ b/persimmoncrank/standin/__init__.py
@@ -3,7 +3,15 @@
 from __future__ import annotations
 
 from persimmoncrank.standin._backend import WORK, BackendStandin
+from persimmoncrank.standin._free_addresses import free_addresses
 from persimmoncrank.standin._platform import MemoryPlatform, PlatformFaults
 from persimmoncrank.standin._platform_http import platform_app
 
-__all__ = ["WORK", "BackendStandin", "MemoryPlatform", "PlatformFaults", "platform_app"]
+__all__ = [
+    "WORK",
+    "BackendStandin",
+    "MemoryPlatform",
+    "PlatformFaults",
+    "free_addresses",
+    "platform_app",
+]
--- /dev/null
+++ b/persimmoncrank/standin/_free_addresses.py
@@ -0,0 +1,43 @@
+"""Free loopback addresses for processes of tests, demo and bench."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+import random
+import socket
+
+log = logging.getLogger(__name__)
+
+FIRST_PORT = 20_000
+LAST_PORT = 32_000
+LOOPBACK = "127.0.0.1"
+
+
+def free_addresses(count: int) -> list[str]:
+    """Return loopback addresses whose ports are free for TCP and UDP.
+
+    They lie below the range from which the system gives ports to outgoing connections, so that
+    none of those takes one before it is bound.
+    """
+    ports = range(FIRST_PORT, LAST_PORT)
+    start = random.SystemRandom().randrange(len(ports))
+    found: list[str] = []
+    for offset in range(len(ports)):
+        if len(found) == count:
+            break
+        port = ports[(start + offset) % len(ports)]
+        if _is_free(port):
+            found.append(f"{LOOPBACK}:{port}")
+    return found
+
+
+def _is_free(port: int) -> bool:
+    with contextlib.ExitStack() as stack:
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                sock = stack.enter_context(socket.socket(socket.AF_INET, kind))
+                sock.bind((LOOPBACK, port))
+        except OSError:
+            return False
+    return True
--- a/persimmoncrank/state/_agent_views.py
+++ b/persimmoncrank/state/_agent_views.py
@@ -90,6 +90,7 @@
         self._self = self_incarnation
         self._views: dict[str, AgentView] = {}
         self._position = 0
+        self._digests: dict[str, int] = {}
 
     @property
     def position(self) -> int:
@@ -120,7 +121,7 @@
         is_final = old == AgentStatus.LEAVING and status != AgentStatus.GONE
         if old == status or is_final:
             return False
-        view.reports[self._self] = status
+        self._set_report(view, self._self, status)
         self._position += 1
         view.position = self._position
         return True
@@ -131,12 +132,21 @@
             self.drop_reports(home)
         for agent in agents:
             view = self._views.setdefault(agent.info.incarnation, AgentView(info=agent.info))
-            view.reports[home] = agent.status
+            self._set_report(view, home, agent.status)
 
     def drop_reports(self, home: str) -> None:
         """Drop all that a peer has reported."""
         for view in self._views.values():
             view.reports.pop(home, None)
+        self._digests.pop(home, None)
+
+    def _set_report(self, view: AgentView, home: str, status: AgentStatus) -> None:
+        """Set a report and keep the digest of its home entry up to date."""
+        incarnation = view.info.incarnation
+        old = _report_hash(incarnation, view.reports.get(home))
+        view.reports[home] = status
+        new = _report_hash(incarnation, status)
+        self._digests[home] = self._digests.get(home, 0) ^ old ^ new
 
     def changed_since(self, since: int) -> tuple[AgentEntry, ...]:
         """Return the agents this entry is home to whose report changed after a position."""
@@ -148,13 +158,15 @@
 
     def digest(self, home: str) -> int:
         """Return a digest over the reports of one home entry on agents that are not gone."""
-        parts = sorted(
-            f"{view.info.incarnation}={view.reports[home]}"
-            for view in self._views.values()
-            if view.reports.get(home, AgentStatus.GONE) != AgentStatus.GONE
-        )
-        return zlib.crc32(";".join(parts).encode())
+        return self._digests.get(home, 0)
 
     def forget(self, incarnation: str) -> None:
         """Drop an agent that is gone."""
         self._views.pop(incarnation, None)
+
+
+def _report_hash(incarnation: str, status: AgentStatus | None) -> int:
+    """Return a report's part of a digest; agents that are gone or unknown have none."""
+    if status is None or status == AgentStatus.GONE:
+        return 0
+    return zlib.crc32(f"{incarnation}={status}".encode())
--- a/persimmoncrank/transport/__init__.py
+++ b/persimmoncrank/transport/__init__.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
+from persimmoncrank.transport._addresses import parse_address
 from persimmoncrank.transport._agent_http import agent_app
 from persimmoncrank.transport._backend_http import BackendClient
 from persimmoncrank.transport._entry_http import ApiLimits, entry_app
-from persimmoncrank.transport._http_server import parse_address, serve_http
+from persimmoncrank.transport._http_server import serve_http
 from persimmoncrank.transport._metrics import Metrics, agent_metrics, entry_metrics
 from persimmoncrank.transport._platform_http import PlatformClient
 from persimmoncrank.transport._rpc_client import RpcClient
-from persimmoncrank.transport._rpc_server import RpcServer, serve_rpc
+from persimmoncrank.transport._rpc_server import serve_rpc
 
 __all__ = [
     "ApiLimits",
@@ -17,7 +18,6 @@
     "Metrics",
     "PlatformClient",
     "RpcClient",
-    "RpcServer",
     "agent_app",
     "agent_metrics",
     "entry_app",
--- a/persimmoncrank/transport/_http_server.py
+++ b/persimmoncrank/transport/_http_server.py
@@ -10,6 +10,8 @@
 import anyio
 import uvicorn
 
+from persimmoncrank.transport._addresses import parse_address
+
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator
 
@@ -31,12 +33,6 @@
         yield
 
 
-def parse_address(address: str) -> tuple[str, int]:
-    """Split ``host:port``."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 @contextlib.asynccontextmanager
 async def serve_http(
     app: Starlette, address: str, *, max_connections: int | None = None
--- a/persimmoncrank/transport/_rpc_server.py
+++ b/persimmoncrank/transport/_rpc_server.py
@@ -1,23 +1,24 @@
-"""The gRPC server of a process: generic handlers over MessagePack messages."""
+"""The servers of a process for other processes: gRPC, and UDP for steady traffic.
+
+gRPC uses generic handlers over MessagePack messages, so no code is generated.
+"""
 
 from __future__ import annotations
 
+import contextlib
 import logging
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Any
 
+import anyio
 import grpc
 
 from persimmoncrank.protocol import Handler, decode_message, encode_message
-from persimmoncrank.transport._rpc_methods import (
-    MAX_MESSAGE_BYTES,
-    is_streamed,
-    method_path,
-    stream_path,
-)
+from persimmoncrank.transport._datagrams import DatagramServer
+from persimmoncrank.transport._rpc_methods import MAX_MESSAGE_BYTES, method_path
 
 if TYPE_CHECKING:
-    from contextlib import AbstractAsyncContextManager
+    from collections.abc import AsyncIterator
 
 log = logging.getLogger(__name__)
 
@@ -34,63 +35,43 @@
     """Finds the handler of a method by its path."""
 
     def __init__(self, handlers: tuple[Handler, ...]) -> None:
-        self._methods: dict[str, grpc.RpcMethodHandler] = {}
-        for handler in handlers:
-            self._add(handler)
-
-    def _add(self, handler: Handler) -> None:
-        request_type = handler.request_type
-        codecs = {
-            "request_deserializer": lambda data: decode_message(data, request_type),
-            "response_serializer": encode_message,
-        }
-        unary = grpc.unary_unary_rpc_method_handler(_serve_unary(handler), **codecs)
-        self._methods[method_path(request_type)] = unary
-        if is_streamed(request_type):
-            stream = grpc.stream_stream_rpc_method_handler(_serve_stream(handler), **codecs)
-            self._methods[stream_path(request_type)] = stream
+        self._methods = {method_path(h.request_type): _method_handler(h) for h in handlers}
 
     def service(self, handler_call_details: Any) -> grpc.RpcMethodHandler | None:
         """Return the handler of the called method."""
         return self._methods.get(handler_call_details.method)
 
 
-def _serve_unary(handler: Handler) -> Serve:
-    async def serve(message: Any, _context: Any) -> Any:
-        return await handler.handle(message)
-
-    return serve
+def _method_handler(handler: Handler) -> grpc.RpcMethodHandler:
+    return grpc.unary_unary_rpc_method_handler(
+        _serve(handler),
+        request_deserializer=lambda data: decode_message(data, handler.request_type),
+        response_serializer=encode_message,
+    )
 
 
-def _serve_stream(handler: Handler) -> Callable[[Any, Any], AsyncIterator[Any]]:
-    async def serve(messages: AsyncIterator[Any], _context: Any) -> AsyncIterator[Any]:
-        async for message in messages:
-            yield await handler.handle(message)
+def _serve(handler: Handler) -> Serve:
+    async def serve(message: Any, _context: Any) -> Any:
+        return await handler.handle(message)
 
     return serve
 
 
-class RpcServer:
-    """A gRPC server that runs inside an ``async with`` block."""
-
-    def __init__(self, *, address: str, handlers: tuple[Handler, ...]) -> None:
-        """Create a server for an address of the form ``host:port``."""
-        self._server = grpc.aio.server(options=_SERVER_OPTIONS)
-        self._server.add_generic_rpc_handlers((_GenericHandler(handlers),))
-        self.port = self._server.add_insecure_port(address)
-
-    async def __aenter__(self) -> RpcServer:
-        """Start serving."""
-        await self._server.start()
-        return self
-
-    async def __aexit__(self, *_exc_info: object) -> None:
-        """Stop at once; callers of a stopped process have had their answers before."""
-        await self._server.stop(grace=None)
-
-
-def serve_rpc(
-    *, address: str, handlers: tuple[Handler, ...]
-) -> AbstractAsyncContextManager[RpcServer]:
-    """Return a server context for the given handlers."""
-    return RpcServer(address=address, handlers=handlers)
+@contextlib.asynccontextmanager
+async def serve_rpc(*, address: str, handlers: tuple[Handler, ...]) -> AsyncIterator[None]:
+    """Serve messages of other processes at ``host:port`` while the block runs.
+
+    It stops at once; callers of a process that leaves have had their answers before.
+    """
+    server = grpc.aio.server(options=_SERVER_OPTIONS)
+    server.add_generic_rpc_handlers((_GenericHandler(handlers),))
+    server.add_insecure_port(address)
+    datagrams = DatagramServer(address=address, handlers=handlers)
+    await server.start()
+    try:
+        async with anyio.create_task_group() as group:
+            group.start_soon(datagrams.run)
+            yield
+            group.cancel_scope.cancel()
+    finally:
+        await server.stop(grace=None)
