--- a/persimmoncrank/tests/base.py
+++ b/persimmoncrank/tests/base.py
@@ -36,6 +36,7 @@
     TableService,
     TaskSpec,
     decode_message,
+    encode_json,
     encode_message,
 )
 from persimmoncrank.standin import MemoryPlatform
@@ -508,7 +509,7 @@
 
 def result_of(submission_id: str, task: TaskSpec) -> bytes:
     """Return the result that belongs to one task of one submission and to no other."""
-    return f'"{submission_id}/{task.index}/{task.payload.decode()}"'.encode()
+    return encode_json(f"{submission_id}/{task.index}/{task.payload.decode()}")
 
 
 def make_job(
--- /dev/null
+++ b/persimmoncrank/tests/test_settings.py
@@ -0,0 +1,62 @@
+"""Tests of the settings: every fault is reported at once."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from persimmoncrank.settings import AgentSettings, EntrySettings, parse_settings
+
+if TYPE_CHECKING:
+    from syrupy.assertion import SnapshotAssertion
+
+GOOD_ENTRY = 'name = "e1"\ndomain = "monza"\nplatform_url = "http://127.0.0.1:7000"\n'
+GOOD_AGENT = (
+    'name = "a1"\ndomain = "monza"\nbackend = "b1"\nbackend_url = "http://127.0.0.1:7100"\n'
+    'kinds = ["walker-check-in"]\nseeds = ["127.0.0.1:9080"]\n'
+)
+
+
+@pytest.mark.parametrize(
+    ("text", "schema"), [(GOOD_ENTRY, EntrySettings), (GOOD_AGENT, AgentSettings)]
+)
+def test_good_settings_are_taken(text: str, schema: type[Any]) -> None:
+    loaded = parse_settings(text, schema).unwrap()
+    assert loaded.settings.domain == "monza"
+    assert loaded.warnings == ()
+
+
+BAD = {
+    "empty": ("", EntrySettings),
+    "not toml": ("name = ", EntrySettings),
+    "several faults": (
+        'name = "e 1"\nplatform_url = "ftp://x"\nhttp_address = "8080"\nid_lifetime_s = 0\n'
+        'max_connections = "many"\nlog_level = "loud"\n',
+        EntrySettings,
+    ),
+    "agent faults": (
+        GOOD_AGENT.replace('["127.0.0.1:9080"]', "[]").replace('["walker-check-in"]', '"x"')
+        + "slots = -1\nprocessors = true\n",
+        AgentSettings,
+    ),
+}
+
+
+@pytest.mark.parametrize("name", list(BAD))
+def test_every_fault_is_reported(name: str, snapshot: SnapshotAssertion) -> None:
+    text, schema = BAD[name]
+    faults = parse_settings(text, schema).unwrap_err()
+    assert [str(fault) for fault in faults] == snapshot
+
+
+@pytest.mark.parametrize(
+    ("line", "warning"),
+    [
+        ("slotz = 4", "slotz: is not a known key and is ignored; did you mean slots?"),
+        ("qqq = 4", "qqq: is not a known key and is ignored"),
+    ],
+)
+def test_unknown_key_is_named_with_the_nearest(line: str, warning: str) -> None:
+    loaded = parse_settings(GOOD_AGENT + line, AgentSettings).unwrap()
+    assert loaded.warnings == (warning,)
