Measure placement against the ideal, and mend what that showed

The bench runs the coordination code in virtual time: response times against a lower bound for each job and against a schedule with full knowledge, beside three baselines.

--- a/persimmoncrank/bench/__init__.py
+++ b/persimmoncrank/bench/__init__.py
@@ -1,7 +1,34 @@
-"""The load and experiment tool."""
+"""The load and experiment tool, and the fakes on which coordination runs in virtual time."""
 
 from __future__ import annotations
 
+from persimmoncrank.bench._baselines import POLICIES
+from persimmoncrank.bench._history import Answered, History, Restriction, Start
 from persimmoncrank.bench._live import LiveReport, LiveSettings, run_live
+from persimmoncrank.bench._network import Network, NetworkFaults, Process, run_virtual
+from persimmoncrank.bench._policy import FAULTS, PolicyReport, PolicySettings, run_policy
+from persimmoncrank.bench._workload import PROFILES
+from persimmoncrank.bench._world import AgentOptions, World, settle
 
-__all__ = ["LiveReport", "LiveSettings", "run_live"]
+__all__ = [
+    "FAULTS",
+    "POLICIES",
+    "PROFILES",
+    "AgentOptions",
+    "Answered",
+    "History",
+    "LiveReport",
+    "LiveSettings",
+    "Network",
+    "NetworkFaults",
+    "PolicyReport",
+    "PolicySettings",
+    "Process",
+    "Restriction",
+    "Start",
+    "World",
+    "run_live",
+    "run_policy",
+    "run_virtual",
+    "settle",
+]
--- /dev/null
+++ b/persimmoncrank/bench/_history.py
@@ -0,0 +1,64 @@
+"""What happened in a run in virtual time, as its checks and measures need it."""
+
+from __future__ import annotations
+
+import logging
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from result import Result
+
+from persimmoncrank.protocol import JobAnswer, JobSpec, JobState, ServiceError
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Start:
+    """One start of a task at a backend server."""
+
+    at_s: float
+    submission_id: str
+    index: int
+    agent: str
+    backend: str
+    domain: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Answered:
+    """One answer that a caller got."""
+
+    at_s: float
+    spec: JobSpec
+    answer: Result[JobAnswer, ServiceError]
+
+    @property
+    def error(self) -> ServiceError | None:
+        """The error of a refused or failed job."""
+        return self.answer.unwrap().error if self.answer.is_ok() else self.answer.unwrap_err()
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the whole answer came."""
+        return self.answer.is_ok() and self.answer.unwrap().state == JobState.COMPLETE
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Restriction:
+    """A failure domain or backend server that may start nothing after an acceptance."""
+
+    accepted_at_s: float
+    ended_at_s: float
+    domain: str = ""
+    backend: str = ""
+
+
+@dataclass(kw_only=True)
+class History:
+    """What happened in a run, as its invariants need it."""
+
+    starts: list[Start] = field(default_factory=list)
+    answers: list[Answered] = field(default_factory=list)
+    restrictions: list[Restriction] = field(default_factory=list)
+    versions: dict[str, list[int]] = field(default_factory=lambda: defaultdict(list))
--- /dev/null
+++ b/persimmoncrank/bench/_workload.py
@@ -0,0 +1,144 @@
+"""Workloads of policy runs: agents of different speed, and a trace of jobs with a heavy tail."""
+
+from __future__ import annotations
+
+import heapq
+import logging
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from persimmoncrank.protocol import TaskSpec
+
+if TYPE_CHECKING:
+    import random
+
+log = logging.getLogger(__name__)
+
+LEAST_WORK_MS = 50.0
+MOST_WORK_MS = 5_000.0
+SPREAD_OF_WORK = 0.6
+MOST_SLOWNESS = 3.0
+DECLARED_OFF_BY = 3.0
+SLOTS = 8
+LEAST_ROUND_TRIP_S = 0.001
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Profile:
+    """One of the customers' deployments: its failure domains and agents."""
+
+    domains: tuple[str, ...]
+    agents: int
+
+
+PROFILES = {
+    "chattahoochee": Profile(domains=("north", "south", "east", "west"), agents=10),
+    "passeggiate": Profile(domains=("monza", "seregno", "vimercate"), agents=10),
+}
+
+MEDIAN_WORK_MS = {"walker-check-in": 70.0, "draft-notice": 200.0, "rebuild-round": 700.0}
+"""The median work of each kind at a backend server of slowness 1."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JobPlan:
+    """One job of a trace: its arrival, and kind and true work of each task."""
+
+    at_s: float
+    kinds: tuple[str, ...]
+    work_ms: tuple[float, ...]
+
+
+def draw_slowness(rng: random.Random, agents: int) -> tuple[float, ...]:
+    """Return the slowness of each agent, from 1 to ``MOST_SLOWNESS``."""
+    drawn = [rng.uniform(1.0, MOST_SLOWNESS) for _ in range(agents - 2)]
+    return (1.0, MOST_SLOWNESS, *drawn)
+
+
+def capacity_per_s(slowness: tuple[float, ...]) -> float:
+    """Return the work in milliseconds that all slots together do in a second."""
+    return sum(SLOTS * 1000 / value for value in slowness)
+
+
+def draw_trace(
+    rng: random.Random, *, load: float, capacity: float, tasks: int, seconds: float
+) -> list[JobPlan]:
+    """Return jobs that arrive at random at a share of the capacity."""
+    samples = [_draw_work_ms(rng, kind) for kind in MEDIAN_WORK_MS for _ in range(400)]
+    jobs_per_s = load * capacity / (tasks * sum(samples) / len(samples))
+    trace = []
+    at_s = rng.expovariate(jobs_per_s)
+    while at_s < seconds:
+        kinds = tuple(rng.choice(tuple(MEDIAN_WORK_MS)) for _ in range(tasks))
+        work_ms = tuple(_draw_work_ms(rng, kind) for kind in kinds)
+        trace.append(JobPlan(at_s=at_s, kinds=kinds, work_ms=work_ms))
+        at_s += rng.expovariate(jobs_per_s)
+    return trace
+
+
+def _draw_work_ms(rng: random.Random, kind: str) -> float:
+    work_ms = rng.lognormvariate(math.log(MEDIAN_WORK_MS[kind]), SPREAD_OF_WORK)
+    return min(max(work_ms, LEAST_WORK_MS), MOST_WORK_MS)
+
+
+def declare_tasks(rng: random.Random, plan: JobPlan) -> tuple[TaskSpec, ...]:
+    """Return a job's tasks; the declared run time is off by up to ``DECLARED_OFF_BY``."""
+    limit = math.log(DECLARED_OFF_BY)
+    return tuple(
+        TaskSpec(
+            index=index,
+            kind=kind,
+            payload=repr(work_ms).encode(),
+            run_time_ms=max(1, int(MEDIAN_WORK_MS[kind] * math.exp(rng.uniform(-limit, limit)))),
+            processors=1.0,
+            memory_bytes=0,
+        )
+        for index, (kind, work_ms) in enumerate(zip(plan.kinds, plan.work_ms, strict=True))
+    )
+
+
+def true_work_ms(task: TaskSpec) -> float:
+    """Return the true work of a task made by ``declare_tasks``."""
+    return float(task.payload)
+
+
+def least_response_s(plan: JobPlan, slowness: tuple[float, ...]) -> float:
+    """Return a lower bound on a job's response time.
+
+    No schedule is faster than the longest task on the fastest slot, nor than all work spread over
+    every slot, with nothing else in the system, plus one round trip.
+    """
+    longest_s = max(plan.work_ms) * min(slowness) / 1000
+    spread_s = sum(plan.work_ms) / capacity_per_s(slowness)
+    return max(longest_s, spread_s) + LEAST_ROUND_TRIP_S
+
+
+def clairvoyant_responses_s(trace: list[JobPlan], slowness: tuple[float, ...]) -> list[float]:
+    """Return the response times of a schedule that knows every work and every free slot.
+
+    Jobs are scheduled as they arrive, their longest task first, each on the slot where it ends
+    first. It is not a bound, but what a scheduler with full knowledge does.
+    """
+    free_at_s = [[0.0] * SLOTS for _ in slowness]
+    responses = []
+    for plan in trace:
+        ends_s = [
+            _schedule(work_ms, plan.at_s, free_at_s, slowness)
+            for work_ms in sorted(plan.work_ms, reverse=True)
+        ]
+        responses.append(max(ends_s) - plan.at_s + LEAST_ROUND_TRIP_S)
+    return responses
+
+
+def _schedule(
+    work_ms: float, at_s: float, free_at_s: list[list[float]], slowness: tuple[float, ...]
+) -> float:
+    """Put a task on the slot where it ends first; return when that is."""
+    ends = [
+        max(at_s, heap[0]) + work_ms * slow / 1000
+        for heap, slow in zip(free_at_s, slowness, strict=True)
+    ]
+    best = min(range(len(ends)), key=ends.__getitem__)
+    heapq.heapreplace(free_at_s[best], ends[best])
+    return ends[best]
--- a/persimmoncrank/cli.py
+++ b/persimmoncrank/cli.py
@@ -79,6 +79,15 @@
 
 Example: persimmoncrank bench live --agents 50 --jobs-per-s 10 --json
 """
+HELP_BENCH_POLICY = """Run a workload in virtual time and compare response times with the ideal.
+
+Example: persimmoncrank bench policy --load 0.8 --faults withdraw --baselines
+"""
+HELP_OPT_FAULTS = (
+    "Faults, separated by commas: withdraw, store-down, agent-dies, failing-backend, silent, pause."
+)
+HELP_OPT_BASELINES = "Run the baselines, too."
+HELP_OPT_LOAD = "The load as a share of the capacity."
 HELP_OPT_JOBS_PER_S = "Jobs submitted each second; 0 measures control alone."
 HELP_DEMO = """Run the whole system in one process and submit the example jobs.
 
@@ -290,6 +299,32 @@
     _print(command.live(LiveSettings(**options), is_json=is_json))
 
 
+@bench.command("policy", help=HELP_BENCH_POLICY)
+@click.option("--profile", default="passeggiate", show_default=True)
+@click.option("--seed", default=1, show_default=True)
+@click.option(
+    "--load", default=0.6, show_default=True, type=click.FloatRange(0.01, 5), help=HELP_OPT_LOAD
+)
+@click.option("--tasks", default=17, show_default=True, type=click.IntRange(1, 1_000))
+@click.option("--seconds", default=30.0, show_default=True, type=click.FloatRange(1))
+@click.option("--faults", default="", help=HELP_OPT_FAULTS)
+@click.option("--baselines", is_flag=True, help=HELP_OPT_BASELINES)
+@json_option
+def bench_policy(is_json: bool, baselines: bool, faults: str, profile: str, **options: Any) -> None:
+    """Measure the policy."""
+    from persimmoncrank.bench import FAULTS, PROFILES, PolicySettings
+    from persimmoncrank.commands import bench as command
+
+    named = tuple(name for name in faults.split(",") if name)
+    unknown = [name for name in named if name not in FAULTS]
+    if unknown:
+        fail(f"no fault {unknown[0]!r}; there are {', '.join(FAULTS)}", EXIT_USAGE)
+    if profile not in PROFILES:
+        fail(f"no profile {profile!r}; there are {', '.join(PROFILES)}", EXIT_USAGE)
+    settings = PolicySettings(profile=profile, faults=named, **options)
+    click.echo(command.policy(settings, with_baselines=baselines, is_json=is_json))
+
+
 @cli.command(help=HELP_DEMO)
 @click.option("-v", "--verbose", "is_verbose", is_flag=True, help=HELP_OPT_VERBOSE)
 def demo(is_verbose: bool) -> None:
--- a/persimmoncrank/commands/bench.py
+++ b/persimmoncrank/commands/bench.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import logging
+from dataclasses import fields, replace
 from typing import TYPE_CHECKING
 
 import msgspec
 from result import Err, Ok, Result
 
-from persimmoncrank.bench import run_live
+from persimmoncrank.bench import POLICIES, run_live, run_policy
 
 if TYPE_CHECKING:
-    from persimmoncrank.bench import LiveReport, LiveSettings
+    from persimmoncrank.bench import LiveReport, LiveSettings, PolicyReport, PolicySettings
 
 log = logging.getLogger(__name__)
 
@@ -29,6 +30,30 @@
     return Ok("\n".join(describe_live(report)))
 
 
+def policy(settings: PolicySettings, *, with_baselines: bool, is_json: bool) -> str:
+    """Run a workload in virtual time under the product's policy, and baselines if asked."""
+    names = list(POLICIES) if with_baselines else [settings.policy]
+    reports = [run_policy(replace(settings, policy=name)) for name in names]
+    if is_json:
+        return msgspec.json.format(msgspec.json.encode(reports)).decode()
+    return "\n".join(describe_policies(reports))
+
+
+def describe_policies(reports: list[PolicyReport]) -> list[str]:
+    """Return policy reports as a readable table, one column a policy."""
+    lines = []
+    for field in fields(reports[0]):
+        values = [getattr(report, field.name) for report in reports]
+        lines.append(f"{field.name:<30}" + "".join(f"{_show(value):>21}" for value in values))
+    return lines
+
+
+def _show(value: object) -> str:
+    if value is None:
+        return "-"
+    return f"{value:.3f}" if isinstance(value, float) else str(value)
+
+
 def describe_live(report: LiveReport) -> list[str]:
     """Return a live report as a readable table."""
     lines = [f"{'phase':<6} {'role':<10} {'processes':>9} {'cpu of a core':>14} {'memory MiB':>11}"]
--- a/persimmoncrank/coordination/__init__.py
+++ b/persimmoncrank/coordination/__init__.py
@@ -9,6 +9,16 @@
 from persimmoncrank.coordination._config_keeper import CLOCK_MARGIN, CURRENCY_LIMIT_S
 from persimmoncrank.coordination._entry_node import EntryNode, EntryPorts
 from persimmoncrank.coordination._job_table import JobLimits
+from persimmoncrank.coordination._placement import (
+    Batch,
+    MakePlace,
+    Place,
+    Placement,
+    PlacementRequest,
+    can_fit,
+    is_allowed,
+    shortest_completion,
+)
 from persimmoncrank.coordination._task_runner import BackendFailure, CallBackend
 
 __all__ = [
@@ -17,8 +27,16 @@
     "AgentLimits",
     "AgentNode",
     "BackendFailure",
+    "Batch",
     "CallBackend",
     "EntryNode",
     "EntryPorts",
     "JobLimits",
+    "MakePlace",
+    "Place",
+    "Placement",
+    "PlacementRequest",
+    "can_fit",
+    "is_allowed",
+    "shortest_completion",
 ]
--- a/persimmoncrank/coordination/_entry_membership.py
+++ b/persimmoncrank/coordination/_entry_membership.py
@@ -186,10 +186,10 @@
             while True:
                 peers = {e.incarnation: e for e in self._keeper.snapshot.entries}
                 peers.pop(self._keeper.incarnation, None)
-                for incarnation in running.keys() - peers.keys():
+                for incarnation in sorted(running.keys() - peers.keys()):
                     running.pop(incarnation).cancel()
                     self._forget_peer(incarnation)
-                for incarnation in peers.keys() - running.keys():
+                for incarnation in sorted(peers.keys() - running.keys()):
                     running[incarnation] = anyio.CancelScope()
                     group.start_soon(self._sync_with, peers[incarnation], running[incarnation])
                 await anyio.sleep(PEERS_CHECK_INTERVAL_S)
--- a/persimmoncrank/coordination/_entry_node.py
+++ b/persimmoncrank/coordination/_entry_node.py
@@ -18,7 +18,7 @@
 from persimmoncrank.coordination._janitor import Janitor
 from persimmoncrank.coordination._job_run import JobPorts
 from persimmoncrank.coordination._job_table import JobLimits, JobTable
-from persimmoncrank.coordination._placement import shortest_completion
+from persimmoncrank.coordination._placement import MakePlace, shortest_completion
 from persimmoncrank.coordination._plans import Plans
 from persimmoncrank.coordination._recovery import Recovery
 from persimmoncrank.coordination._registration import Registration
@@ -71,8 +71,9 @@
         ports: EntryPorts,
         limits: JobLimits,
         record_retention_s: float,
+        make_place: MakePlace = shortest_completion,
     ) -> None:
-        """Wire the entry; ``run`` brings it to life."""
+        """Wire the entry with a placement policy; ``run`` brings it to life."""
         self.info = info
         self._ports = ports
         self.views = AgentViews(self_incarnation=info.incarnation)
@@ -87,7 +88,7 @@
             keeper=self.keeper,
             views=self.views,
             times=times,
-            place=shortest_completion(self.views, times),
+            place=make_place(self.views, times),
             call=ports.call,
             counters=self.counters,
         )
--- a/persimmoncrank/coordination/_job_run.py
+++ b/persimmoncrank/coordination/_job_run.py
@@ -40,14 +40,25 @@
 
 log = logging.getLogger(__name__)
 
-BATCH_TIMEOUT_S = 2 * REPLY_HOLD_S
-RESEND_INTERVAL_S = 0.1
+HOLD_MARGIN = 3.0
+"""Factor on a batch's expected time; past it the entry asks again."""
+
+LONGEST_HOLD_S = 5.0
+REPLY_GRACE_S = 1.0
+"""How long after its hold a reply may come before its connection counts as silent."""
+
+RESEND_INTERVAL_S = 0.5
 PLACE_AGAIN_INTERVAL_S = 0.05
 CANCEL_TIMEOUT_S = 0.5
 MAX_ATTEMPTS = 20
 
-_FORGETTABLE_REFUSALS = (RefusalReason.NOT_CURRENT, RefusalReason.QUEUE_FULL)
-"""Refusals after which the same agent may be chosen again."""
+_PAUSES_S = {
+    RefusalReason.NOT_CURRENT: 0.3,
+    RefusalReason.QUEUE_FULL: 0.3,
+    RefusalReason.BACKEND_UNREACHABLE: 0.3,
+    RefusalReason.BACKEND_FAILING: 2.0,
+}
+"""How long an agent gets nothing after a refusal that may pass; after others the task avoids it."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -68,6 +79,7 @@
 
     agent: AgentView
     task: BatchTask
+    service_ms: float
 
 
 class JobRun:
@@ -154,31 +166,46 @@
 
     def _note_sent(self, placement: Placement) -> None:
         for batch in placement.batches:
-            batch.agent.outstanding += len(batch.tasks)
             for task in batch.tasks:
-                self._sent[task.spec.index] = _Sent(agent=batch.agent, task=task)
+                service_ms = batch.service_ms.get(task.spec.index, 0.0)
+                sent = _Sent(agent=batch.agent, task=task, service_ms=service_ms)
+                self._sent[task.spec.index] = sent
+                batch.agent.outstanding += 1
+                batch.agent.outstanding_ms += service_ms
+
+    def _note_settled(self, view: AgentView, index: int) -> None:
+        """Take a task off what is outstanding at its agent."""
+        view.outstanding -= 1
+        view.outstanding_ms -= self._sent[index].service_ms
 
     async def _drive(self, batch: Batch) -> None:
         """Send a batch, and again until all its tasks are settled."""
         view = batch.agent
         pending = {task.spec.index: task for task in batch.tasks}
+        hold_s = min(max(batch.expected_ms * HOLD_MARGIN / 1000, REPLY_HOLD_S), LONGEST_HOLD_S)
         try:
             while pending:
-                await self._exchange(view, pending)
+                await self._exchange(view, pending, hold_s)
         finally:
-            view.outstanding -= len(pending)
+            for index in pending:
+                self._note_settled(view, index)
 
-    async def _exchange(self, view: AgentView, pending: dict[int, BatchTask]) -> None:
+    async def _exchange(
+        self, view: AgentView, pending: dict[int, BatchTask], hold_s: float
+    ) -> None:
         self._ports.counters.batches_sent += 1
         message = RunBatch(
             agent=view.info.incarnation,
             submission_id=self._spec.submission_id,
             deadline_ms=self._left_ms(),
+            hold_ms=int(hold_s * 1000),
             is_idempotent=self._spec.is_idempotent,
             task_count=len(self._spec.tasks),
             tasks=tuple(pending.values()),
         )
-        answer = await self._ports.call(view.info.rpc_address, message, BatchReply, BATCH_TIMEOUT_S)
+        answer = await self._ports.call(
+            view.info.rpc_address, message, BatchReply, hold_s + REPLY_GRACE_S
+        )
         match answer:
             case Ok(reply) if reply.is_known:
                 self._take_outcomes(view, pending, reply.outcomes)
@@ -209,7 +236,8 @@
     def _lose(self, view: AgentView, pending: dict[int, BatchTask], cause: str) -> None:
         """Give up tasks that may have started at an agent that will not answer."""
         tasks = list(pending.values())
-        view.outstanding -= len(pending)
+        for index in pending:
+            self._note_settled(view, index)
         pending.clear()
         self._may_have_started = True
         if self._spec.is_idempotent:
@@ -231,7 +259,7 @@
             task = pending.get(outcome.index)
             if task is not None:
                 del pending[outcome.index]
-                view.outstanding -= 1
+                self._note_settled(view, outcome.index)
                 self._take_outcome(view, task, outcome)
         self._signal()
 
@@ -272,17 +300,16 @@
     def _take_refusal(self, view: AgentView, task: BatchTask, reason: RefusalReason | None) -> None:
         """Place a task again that has not started."""
         self._ports.counters.tasks_refused[str(reason)] += 1
-        if reason == RefusalReason.BACKEND_UNREACHABLE:
-            self._note_failure(view)
         if reason == RefusalReason.ISSUER_GONE and not self._ports.keeper.is_registered(
             self._ports.keeper.incarnation
         ):
             self._fail(ErrorKind.ISSUER_GONE, "this entry was expelled")
             return
-        if task.attempt + 1 >= MAX_ATTEMPTS:
-            self._fail(ErrorKind.OVERLOADED, f"task {task.spec.index} was refused everywhere")
-            return
-        if reason in _FORGETTABLE_REFUSALS:
+        if reason == RefusalReason.BACKEND_UNREACHABLE:
+            self._note_failure(view)
+        pause_s = _PAUSES_S.get(reason, 0.0) if reason is not None else 0.0
+        if pause_s > 0.0:
+            view.pause(anyio.current_time() + pause_s)
             self._waiting.append(replace(task, attempt=task.attempt + 1))
             return
         self._place_again(view, task)
@@ -323,16 +350,19 @@
         )
         return failed_answer(self._spec.submission_id, proved)
 
-    async def _cancel_at(self, sents: list[_Sent]) -> None:
-        view = sents[0].agent
-        message = CancelBatch(
-            agent=view.info.incarnation,
+    def _cancel_message(self, sents: list[_Sent]) -> CancelBatch:
+        return CancelBatch(
+            agent=sents[0].agent.info.incarnation,
             submission_id=self._spec.submission_id,
             task_count=len(self._spec.tasks),
             tasks=tuple(
                 TaskAttempt(index=sent.task.spec.index, attempt=sent.task.attempt) for sent in sents
             ),
         )
+
+    async def _cancel_at(self, sents: list[_Sent]) -> None:
+        view = sents[0].agent
+        message = self._cancel_message(sents)
         answer = await self._ports.call(
             view.info.rpc_address, message, BatchReply, CANCEL_TIMEOUT_S
         )
--- a/persimmoncrank/coordination/_placement.py
+++ b/persimmoncrank/coordination/_placement.py
@@ -24,11 +24,16 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Batch:
-    """The tasks of one job that go to one agent."""
+    """The tasks of one job that go to one agent.
+
+    ``expected_ms`` is when the last of them should complete; ``service_ms`` holds the expected
+    service time of each task by its index.
+    """
 
     agent: AgentView
     tasks: tuple[BatchTask, ...]
     expected_ms: float
+    service_ms: dict[int, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -55,6 +60,10 @@
 """A placement policy; the last argument is the present instant in seconds."""
 
 
+MakePlace = Callable[[AgentViews, ServiceTimes], Place]
+"""Makes a placement policy for an entry's view of the agents and its learned service times."""
+
+
 def can_fit(view: AgentView, task: BatchTask) -> bool:
     """Tell whether an agent could ever run a task."""
     info, spec = view.info, task.spec
@@ -128,6 +137,7 @@
         self._times = times
         self._request = request
         self._chosen: dict[str, list[BatchTask]] = {}
+        self._expected_service_ms: dict[str, dict[int, float]] = {}
         self._expected_ms: dict[str, float] = {}
         self._backlog_ms: dict[str, float] = {}
 
@@ -138,11 +148,16 @@
         for task in tasks:
             by_kind.setdefault(task.spec.kind, []).append(task)
         unplaced: list[BatchTask] = []
-        for kind_tasks in by_kind.values():
-            unplaced.extend(self._place_kind(kind_tasks, candidates))
+        for kind in sorted(by_kind, key=self._times.kind_ms, reverse=True):
+            unplaced.extend(self._place_kind(by_kind[kind], candidates))
         agents = {view.info.incarnation: view for view in candidates}
         batches = tuple(
-            Batch(agent=agents[agent], tasks=tuple(chosen), expected_ms=self._expected_ms[agent])
+            Batch(
+                agent=agents[agent],
+                tasks=tuple(chosen),
+                expected_ms=self._expected_ms[agent],
+                service_ms=self._expected_service_ms[agent],
+            )
             for agent, chosen in self._chosen.items()
         )
         return Placement(batches=batches, unplaced=tuple(unplaced))
@@ -202,6 +217,8 @@
     def _choose(self, task: BatchTask, best: _Candidate) -> None:
         agent = best.view.info.incarnation
         self._chosen.setdefault(agent, []).append(task)
+        service_ms = self._expected_service_ms.setdefault(agent, {})
+        service_ms[task.spec.index] = best.service_ms
         self._backlog_ms[agent] = self._backlog_ms.get(agent, 0.0) + best.service_ms
         self._expected_ms[agent] = max(self._expected_ms.get(agent, 0.0), best.completion_ms)
 
@@ -214,6 +231,7 @@
         """Return when a task sent now should complete: waiting for a slot, then service."""
         slots = view.info.slots
         ahead_ms = self._backlog_ms.get(view.info.incarnation, 0.0)
-        ahead_ms += (view.outstanding + view.others) * service_ms
+        mean_ms = self._times.mean_ms(agent=view.info.incarnation, default_ms=service_ms)
+        ahead_ms += view.outstanding_ms + view.others * mean_ms
         waiting_ms = max(0.0, ahead_ms - (slots - 1) * service_ms) / slots
         return waiting_ms + service_ms
--- a/persimmoncrank/coordination/_task_runner.py
+++ b/persimmoncrank/coordination/_task_runner.py
@@ -26,12 +26,12 @@
     TaskSpec,
     parse_submission_id,
 )
-from persimmoncrank.state import AgentCounters, StartRecords, TaskKey, is_settled
+from persimmoncrank.state import AgentCounters, Breaker, StartRecords, TaskKey, is_settled
 
 log = logging.getLogger(__name__)
 
 REPLY_HOLD_S = 1.0
-"""The longest that a batch message waits for its tasks before it is answered as they stand."""
+"""How long a message usually waits before it is answered as things stand."""
 
 _EXPIRY_INTERVAL_S = 1.0
 
@@ -87,6 +87,7 @@
         self._call_backend = call_backend
         self._counters = counters
         self._queue: deque[_Queued] = deque()
+        self._breaker = Breaker()
         self._running = 0
         self._queued = 0
         self._is_leaving = False
@@ -114,13 +115,13 @@
     async def run_batch(self, batch: RunBatch) -> BatchReply:
         """Run the tasks of a batch, or attach to them if they are known already.
 
-        Returns when all are settled, when one did not succeed, or after ``REPLY_HOLD_S``.
+        Returns when all are settled, when one did not succeed, or after the batch's hold.
         """
         if batch.agent != self._incarnation:
             return BatchReply(agent=self._incarnation, is_known=False)
         keys = [TaskKey(submission_id=batch.submission_id, index=t.spec.index) for t in batch.tasks]
         self._admit(batch, keys)
-        with anyio.move_on_after(REPLY_HOLD_S):
+        with anyio.move_on_after(batch.hold_ms / 1000):
             while not self._has_news(keys):
                 await self._watch(batch.submission_id).wait()
         return self._reply(o for o in self._outcomes(keys) if is_settled(o))
@@ -218,13 +219,17 @@
             return RefusalReason.LEAVING
         if now_s >= queued.latest_start_s:
             return RefusalReason.TOO_LATE
-        return self._start_permit(queued.issuer)
+        reason = self._start_permit(queued.issuer)
+        if reason is None and not self._breaker.may_pass(now_s=now_s):
+            return RefusalReason.BACKEND_FAILING
+        return reason
 
     def _settle(
         self, key: TaskKey, result: Result[bytes, BackendFailure], started_at_s: float
     ) -> None:
         now_s = anyio.current_time()
         run_time_ms = math.ceil((now_s - started_at_s) * 1000)
+        self._note_health(result, now_s)
         match result:
             case Ok(body):
                 state, detail = OutcomeState.SUCCEEDED, body
@@ -239,6 +244,14 @@
         self._records.settle(key, state=state, detail=detail, run_time_ms=run_time_ms, now_s=now_s)
         self._signal_settled(key.submission_id)
 
+    def _note_health(self, result: Result[bytes, BackendFailure], now_s: float) -> None:
+        """Open the breaker before a backend server that fails, and give its queue back."""
+        if result.is_ok():
+            self._breaker.note_success()
+        elif self._breaker.note_failure(now_s=now_s):
+            refused = self.refuse_queued(RefusalReason.BACKEND_FAILING)
+            log.warning("agent: backend server fails, queue given back count=%d", refused)
+
     def _refuse_new(self, key: TaskKey, reason: RefusalReason) -> None:
         self._counters.tasks_refused[reason] += 1
         self._records.refuse(key, reason=reason, now_s=anyio.current_time())
--- a/persimmoncrank/protocol/_batches.py
+++ b/persimmoncrank/protocol/_batches.py
@@ -38,6 +38,7 @@
     QUEUE_FULL = "queue_full"
     TOO_LATE = "too_late"
     BACKEND_UNREACHABLE = "backend_unreachable"
+    BACKEND_FAILING = "backend_failing"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -52,14 +53,15 @@
 class RunBatch:
     """Asks the agent of incarnation ``agent`` to run tasks of one job.
 
-    ``deadline_ms`` is what is left of the job's deadline at the time of sending; ``task_count``
-    counts the tasks of the whole job.
+    ``deadline_ms`` is what is left of the job's deadline at the time of sending; ``hold_ms`` is how
+    long the reply may wait for the tasks; ``task_count`` counts the tasks of the whole job.
     The message is idempotent: a repeat is answered from the start records.
     """
 
     agent: str
     submission_id: str
     deadline_ms: int
+    hold_ms: int
     is_idempotent: bool
     task_count: int
     tasks: tuple[BatchTask, ...]
--- a/persimmoncrank/state/__init__.py
+++ b/persimmoncrank/state/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from persimmoncrank.state._agent_views import AgentView, AgentViews, combine_statuses
+from persimmoncrank.state._breaker import Breaker
 from persimmoncrank.state._counters import AgentCounters, EntryCounters
 from persimmoncrank.state._currency import (
     NEVER_S,
@@ -26,6 +27,7 @@
     "AgentCounters",
     "AgentView",
     "AgentViews",
+    "Breaker",
     "Currency",
     "EntryCounters",
     "PeerVersion",
--- a/persimmoncrank/state/_agent_views.py
+++ b/persimmoncrank/state/_agent_views.py
@@ -24,7 +24,8 @@
     """One agent as an entry sees it.
 
     ``reports`` holds what each of the agent's home entries says of it. ``outstanding`` counts this
-    entry's own unsettled tasks there; ``others`` estimates the tasks of other entries from the last
+    entry's own unsettled tasks there and ``outstanding_ms`` adds up their expected service times;
+    ``others`` estimates the tasks of other entries from the last
     load that the agent reported.
     """
 
@@ -33,6 +34,7 @@
     heard_at_s: float = 0.0
     position: int = 0
     outstanding: int = 0
+    outstanding_ms: float = 0.0
     others: int = 0
     failures_in_row: int = 0
     quarantine_s: float = 0.0
@@ -63,6 +65,10 @@
         self.quarantined_until_s = now_s + self.quarantine_s
         return True
 
+    def pause(self, until_s: float) -> None:
+        """Send the agent nothing until an instant."""
+        self.quarantined_until_s = max(self.quarantined_until_s, until_s)
+
     def is_probing(self) -> bool:
         """Tell whether a quarantine was imposed and no task has succeeded since."""
         return self.quarantine_s > 0.0
--- a/persimmoncrank/state/_service_times.py
+++ b/persimmoncrank/state/_service_times.py
@@ -21,6 +21,7 @@
         """Create an empty set of means."""
         self._by_agent_kind: dict[tuple[str, str], float] = {}
         self._by_kind: dict[str, float] = {}
+        self._by_agent: dict[str, float] = {}
         self._slowness: dict[str, float] = {}
 
     def observe(self, *, agent: str, kind: str, run_time_ms: float) -> None:
@@ -30,6 +31,7 @@
         self._by_kind[kind] = kind_ms
         key = (agent, kind)
         self._by_agent_kind[key] = _blend(self._by_agent_kind.get(key), run_time_ms)
+        self._by_agent[agent] = _blend(self._by_agent.get(agent), run_time_ms)
         self._slowness[agent] = _blend(self._slowness.get(agent), run_time_ms / kind_ms)
 
     def expected_ms(self, *, agent: str, kind: str, declared_ms: float) -> float:
@@ -40,9 +42,18 @@
         slowness = self._slowness.get(agent, 1.0)
         return max(self._by_kind.get(kind, declared_ms), _LEAST_MS) * slowness
 
+    def kind_ms(self, kind: str) -> float:
+        """Return the mean service time of a kind over all agents, or 0 if it was not seen."""
+        return self._by_kind.get(kind, 0.0)
+
+    def mean_ms(self, *, agent: str, default_ms: float) -> float:
+        """Return the mean service time of an agent over all kinds."""
+        return self._by_agent.get(agent, default_ms)
+
     def forget(self, agent: str) -> None:
         """Drop what was learned of an agent that is gone."""
         self._slowness.pop(agent, None)
+        self._by_agent.pop(agent, None)
         for key in [key for key in self._by_agent_kind if key[0] == agent]:
             del self._by_agent_kind[key]
 
--- a/persimmoncrank/tests/faults.py
+++ b/persimmoncrank/tests/faults.py
@@ -13,8 +13,8 @@
 from persimmoncrank.tests.base import DOMAINS, make_job
 
 if TYPE_CHECKING:
+    from persimmoncrank.bench import Answered, Process, World
     from persimmoncrank.protocol import JobSpec
-    from persimmoncrank.tests.base import Answered, Process, World
 
 log = logging.getLogger(__name__)
 
@@ -102,6 +102,7 @@
     source = processes[fault.target % len(processes)]
     for process in processes:
         world.network.silence(source.address, process.address)
+        world.network.silence(process.address, source.address)
 
 
 async def _cut_domains(world: World, fault: Fault) -> None:
--- a/persimmoncrank/tests/invariants.py
+++ b/persimmoncrank/tests/invariants.py
@@ -9,7 +9,7 @@
 from persimmoncrank.tests.base import result_of
 
 if TYPE_CHECKING:
-    from persimmoncrank.tests.base import Answered, History
+    from persimmoncrank.bench import Answered, History
 
 log = logging.getLogger(__name__)
 
--- a/persimmoncrank/tests/test_entry_node.py
+++ b/persimmoncrank/tests/test_entry_node.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import anyio
 import pytest
 
@@ -86,8 +88,6 @@
     ],
 )
 def test_jobs_that_cannot_run_are_refused_at_once(change: dict, kind: ErrorKind) -> None:
-    from dataclasses import replace
-
     async def main() -> None:
         async with anyio.create_task_group() as group:
             world = await start_world(group, seed=5)
--- a/persimmoncrank/tests/test_histories.py
+++ b/persimmoncrank/tests/test_histories.py
@@ -15,7 +15,7 @@
 from persimmoncrank.tests.invariants import check_all
 
 if TYPE_CHECKING:
-    from persimmoncrank.tests.base import History, World
+    from persimmoncrank.bench import History, World
 
 RUN_S = 25.0
 HEAL_S = 40.0
--- a/persimmoncrank/tests/test_mutations.py
+++ b/persimmoncrank/tests/test_mutations.py
@@ -8,13 +8,14 @@
 import anyio
 import pytest
 
+from persimmoncrank.bench import History, World
 from persimmoncrank.coordination import _job_run, _recovery
 from persimmoncrank.coordination._agent_membership import AgentMembership
 from persimmoncrank.coordination._config_keeper import ConfigKeeper
 from persimmoncrank.coordination._task_runner import TaskRunner
 from persimmoncrank.state import StartRecords
 from persimmoncrank.tests import invariants
-from persimmoncrank.tests.base import DOMAINS, History, World, make_job, run_virtual, start_world
+from persimmoncrank.tests.base import DOMAINS, make_job, run_virtual, start_world
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -31,9 +32,13 @@
 
 
 async def repeated_messages(world: World) -> None:
-    """Run tasks for so long that their batches are sent again meanwhile."""
-    spec = make_job(await world.issue_id("e0"), tasks=20, run_time_ms=1_500)
-    await world.submit("e0", spec)
+    """Let connections go silent under running tasks, so that their batches are sent again."""
+    spec = make_job(await world.issue_id("e0"), tasks=20, run_time_ms=1_500, deadline_ms=30_000)
+    async with anyio.create_task_group() as group:
+        group.start_soon(world.submit, "e0", spec)
+        await anyio.sleep(0.5)
+        for agent in world.agents.values():
+            world.network.silence(world.entries["e0"].process.address, agent.process.address)
 
 
 async def plain_job(world: World) -> None:
