--- a/persimmoncrank/bench/_live.py
+++ b/persimmoncrank/bench/_live.py
@@ -27,16 +27,21 @@
 READY_POLL_INTERVAL_S = 0.25
 SETTLE_S = 3.0
 BACKENDS_PER_PROCESS = 50
+LIGHT_AGENTS_PER_PROCESS = 160
 MAX_CALLERS = 64
 MAX_RATIO_X1000 = 1_000_000
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LiveSettings:
-    """The size and the load of a live run; with 0 jobs a second only control is measured."""
+    """The size and the load of a live run; with 0 jobs a second only control is measured.
+
+    ``light_agents`` are agents of which nothing but the heartbeats is real.
+    """
 
     entries: int = 3
     agents: int = 10
+    light_agents: int = 0
     slots: int = 8
     idle_s: float = 10.0
     load_s: float = 10.0
@@ -125,7 +130,8 @@
     before = processes.read()
     await anyio.sleep(settings.idle_s)
     idle = _phase(before, processes.read(), settings.idle_s)
-    per_agent = idle.loopback_bytes_per_s / max(settings.agents, 1)
+    agents = settings.agents + settings.light_agents
+    per_agent = idle.loopback_bytes_per_s / max(agents, 1)
     if settings.jobs_per_s <= 0:
         report = LiveReport(settings=settings, idle=idle, idle_bytes_per_s_per_agent=per_agent)
         return Ok(report)
@@ -187,6 +193,9 @@
             seeds=seeds,
         )
         _start_role(processes, folder, "agent", number, text)
+    for number in range(0, settings.light_agents, LIGHT_AGENTS_PER_PROCESS):
+        count = min(LIGHT_AGENTS_PER_PROCESS, settings.light_agents - number)
+        processes.start("light", "persimmoncrank.bench", f"light-{number}", str(count), *seeds)
     urls = tuple(f"http://{address}" for address in entry_http)
     return _Site(platform=platform, entry_urls=urls, seeds=seeds)
 
@@ -259,7 +268,7 @@
     except (httpcore.NetworkError, httpcore.ProtocolError):
         return False
     live = [agent for agent in status["agents"] if agent["status"] == "live"]
-    return status["age_ms"] is not None and len(live) == settings.agents
+    return status["age_ms"] is not None and len(live) == settings.agents + settings.light_agents
 
 
 async def _add_customer(site: _Site, pool: httpcore.AsyncConnectionPool) -> None:
--- a/persimmoncrank/bench/_processes.py
+++ b/persimmoncrank/bench/_processes.py
@@ -61,7 +61,7 @@
 
     def stop(self) -> None:
         """End every process that was started here; agents and entries first, gracefully."""
-        for role in ("agent", "entry", "backends", "platform"):
+        for role in ("light", "agent", "entry", "backends", "platform"):
             processes = self.by_role.pop(role, [])
             for process in processes:
                 process.terminate()
--- a/persimmoncrank/cli.py
+++ b/persimmoncrank/cli.py
@@ -88,6 +88,7 @@
 )
 HELP_OPT_BASELINES = "Run the baselines, too."
 HELP_OPT_LOAD = "The load as a share of the capacity."
+HELP_OPT_LIGHT = "Agents of which nothing but the heartbeats is real."
 HELP_OPT_JOBS_PER_S = "Jobs submitted each second; 0 measures control alone."
 HELP_DEMO = """Run the whole system in one process and submit the example jobs.
 
@@ -277,7 +278,14 @@
 
 @bench.command("live", help=HELP_BENCH_LIVE)
 @click.option("--entries", default=3, show_default=True, type=click.IntRange(1, 20))
-@click.option("--agents", default=10, show_default=True, type=click.IntRange(1, 300))
+@click.option("--agents", default=10, show_default=True, type=click.IntRange(0, 200))
+@click.option(
+    "--light-agents",
+    default=0,
+    show_default=True,
+    type=click.IntRange(0, 2_000),
+    help=HELP_OPT_LIGHT,
+)
 @click.option("--slots", default=8, show_default=True, type=click.IntRange(1))
 @click.option("--idle-s", default=10.0, show_default=True, type=click.FloatRange(1))
 @click.option("--load-s", default=10.0, show_default=True, type=click.FloatRange(1))
--- a/persimmoncrank/coordination/__init__.py
+++ b/persimmoncrank/coordination/__init__.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from persimmoncrank.coordination._agent_membership import AgentMembership
 from persimmoncrank.coordination._agent_node import AgentLimits, AgentNode
 from persimmoncrank.coordination._config_keeper import CLOCK_MARGIN, CURRENCY_LIMIT_S
 from persimmoncrank.coordination._entry_node import EntryNode, EntryPorts
@@ -25,6 +26,7 @@
     "CLOCK_MARGIN",
     "CURRENCY_LIMIT_S",
     "AgentLimits",
+    "AgentMembership",
     "AgentNode",
     "BackendFailure",
     "Batch",
