--- a/persimmoncrank/bench/_live.py
+++ b/persimmoncrank/bench/_live.py
@@ -95,12 +95,11 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class _Site:
+class LiveSite:
     """The addresses of a live run."""
 
-    platform: str
     entry_urls: tuple[str, ...]
-    seeds: tuple[str, ...]
+    backend_urls: tuple[str, ...]
 
 
 def run_live(settings: LiveSettings) -> Result[LiveReport, str]:
@@ -112,7 +111,7 @@
     with tempfile.TemporaryDirectory(prefix="persimmoncrank-bench-") as folder:
         processes = Processes(log_dir=Path(folder))
         try:
-            site = _start(settings, processes, Path(folder))
+            site = start_site(settings, processes, Path(folder))
             async with httpcore.AsyncConnectionPool(max_connections=MAX_CALLERS) as pool:
                 return await _measure(settings, processes, site, pool)
         finally:
@@ -120,12 +119,12 @@
 
 
 async def _measure(
-    settings: LiveSettings, processes: Processes, site: _Site, pool: httpcore.AsyncConnectionPool
+    settings: LiveSettings, processes: Processes, site: LiveSite, pool: httpcore.AsyncConnectionPool
 ) -> Result[LiveReport, str]:
-    ready = await _wait_until_ready(settings, processes, site, pool)
+    ready = await wait_until_ready(settings, processes, site, pool)
     if ready.is_err():
         return Err(ready.unwrap_err())
-    await _add_customer(site, pool)
+    await add_customer(site, pool)
     await anyio.sleep(SETTLE_S)
     before = processes.read()
     await anyio.sleep(settings.idle_s)
@@ -169,7 +168,7 @@
     )
 
 
-def _start(settings: LiveSettings, processes: Processes, folder: Path) -> _Site:
+def start_site(settings: LiveSettings, processes: Processes, folder: Path) -> LiveSite:
     addresses = free_addresses(1 + 2 * settings.entries + 3 * settings.agents)
     platform = addresses.pop()
     processes.start("platform", "persimmoncrank.standin", "platform", platform)
@@ -196,8 +195,10 @@
     for number in range(0, settings.light_agents, LIGHT_AGENTS_PER_PROCESS):
         count = min(LIGHT_AGENTS_PER_PROCESS, settings.light_agents - number)
         processes.start("light", "persimmoncrank.bench", f"light-{number}", str(count), *seeds)
-    urls = tuple(f"http://{address}" for address in entry_http)
-    return _Site(platform=platform, entry_urls=urls, seeds=seeds)
+    return LiveSite(
+        entry_urls=tuple(f"http://{address}" for address in entry_http),
+        backend_urls=tuple(f"http://{address}" for address in backends),
+    )
 
 
 def _start_role(processes: Processes, folder: Path, role: str, number: int, text: str) -> None:
@@ -251,8 +252,8 @@
     return response.status, msgspec.json.decode(response.content)
 
 
-async def _wait_until_ready(
-    settings: LiveSettings, processes: Processes, site: _Site, pool: httpcore.AsyncConnectionPool
+async def wait_until_ready(
+    settings: LiveSettings, processes: Processes, site: LiveSite, pool: httpcore.AsyncConnectionPool
 ) -> Result[None, str]:
     with anyio.move_on_after(READY_TIMEOUT_S):
         for url in site.entry_urls:
@@ -271,7 +272,7 @@
     return status["age_ms"] is not None and len(live) == settings.agents + settings.light_agents
 
 
-async def _add_customer(site: _Site, pool: httpcore.AsyncConnectionPool) -> None:
+async def add_customer(site: LiveSite, pool: httpcore.AsyncConnectionPool) -> None:
     url = site.entry_urls[0]
     intent = {"kind": "add-customer", "target": CUSTOMER, "kinds": [KIND]}
     _, report = await _call(pool, "POST", f"{url}/v1/plans", intent)
@@ -283,7 +284,7 @@
     """An open loop of jobs at a fixed rate, over all entries in turn."""
 
     def __init__(
-        self, *, settings: LiveSettings, site: _Site, pool: httpcore.AsyncConnectionPool
+        self, *, settings: LiveSettings, site: LiveSite, pool: httpcore.AsyncConnectionPool
     ) -> None:
         self._settings = settings
         self._site = site
--- a/persimmoncrank/standin/_backend.py
+++ b/persimmoncrank/standin/_backend.py
@@ -91,6 +91,15 @@
         await anyio.sleep(payload.get("work_ms", DEFAULT_WORK_MS) * self.slowness / 1000)
         return Response(encode_json(WORK[kind](payload)), media_type="application/json")
 
+    async def show_starts(self, _request: Request) -> Response:
+        """Show how often each task was started here."""
+        return Response(encode_json(dict(self.starts)), media_type="application/json")
+
     def app(self) -> Starlette:
         """Return the HTTP application of this backend server."""
-        return Starlette(routes=[Route("/tasks/{kind}", self.run_task, methods=["POST"])])
+        return Starlette(
+            routes=[
+                Route("/tasks/{kind}", self.run_task, methods=["POST"]),
+                Route("/starts", self.show_starts, methods=["GET"]),
+            ]
+        )
