--- a/persimmoncrank/bench/_network.py
+++ b/persimmoncrank/bench/_network.py
@@ -69,6 +69,7 @@
         self.handlers: dict[type, Handler] = {}
         self.group: TaskGroup | None = None
         self.is_alive = False
+        self.has_store = True
         self._resumed = anyio.Event()
         self._resumed.set()
 
--- a/persimmoncrank/bench/_world.py
+++ b/persimmoncrank/bench/_world.py
@@ -30,6 +30,8 @@
     JobAnswer,
     JobSpec,
     ServiceError,
+    StoreError,
+    StoreErrorKind,
     TableService,
     TaskSpec,
     encode_json,
@@ -118,6 +120,8 @@
         def guard(send: Callable[..., Awaitable[Any]]) -> Callable[..., Awaitable[Any]]:
             async def call(*args: Any) -> Any:
                 await process.gate()
+                if not process.has_store:
+                    return Err(StoreError(kind=StoreErrorKind.UNAVAILABLE, message="cut off"))
                 answer = await send(*args)
                 await process.gate()
                 return answer
--- a/persimmoncrank/coordination/_recovery.py
+++ b/persimmoncrank/coordination/_recovery.py
@@ -54,7 +54,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Testimony:
+class WitnessReport:
     """What one witness says of one submission."""
 
     witness: Witness
@@ -66,7 +66,7 @@
     """One question to all witnesses about some submissions of an issuer."""
 
     submission_ids: set[str] = field(default_factory=set)
-    testimonies: dict[str, list[Testimony]] = field(default_factory=dict)
+    reports: dict[str, list[WitnessReport]] = field(default_factory=dict)
     unaccounted: list[str] = field(default_factory=list)
     error: ServiceError | None = None
     done: anyio.Event = field(default_factory=anyio.Event)
@@ -91,9 +91,7 @@
         sweep = await self._join_sweep(submission_id, issuer)
         if sweep.error is not None:
             return failed_answer(submission_id, sweep.error)
-        answer = conclude(
-            submission_id, sweep.testimonies.get(submission_id, []), sweep.unaccounted
-        )
+        answer = conclude(submission_id, sweep.reports.get(submission_id, []), sweep.unaccounted)
         log.info(
             "recovery: submission closed submission=%s state=%s not_run=%s unaccounted=%d",
             submission_id,
@@ -185,8 +183,8 @@
             log.warning("recovery: agent is unaccounted for agent=%s", witness.agent)
             return
         for records in reply.records:
-            testimony = Testimony(witness=witness, records=records)
-            sweep.testimonies.setdefault(records.submission_id, []).append(testimony)
+            report = WitnessReport(witness=witness, records=records)
+            sweep.reports.setdefault(records.submission_id, []).append(report)
 
     async def _ask_until_settled(self, sweep: Sweep, witness: Witness) -> CloseReply | None:
         give_up_at_s = anyio.current_time() + MAX_WAIT_FOR_RUNNING_S
@@ -218,14 +216,14 @@
     return any(o.state == OutcomeState.STARTED for r in reply.records for o in r.outcomes)
 
 
-def conclude(submission_id: str, testimonies: list[Testimony], unaccounted: list[str]) -> JobAnswer:
+def conclude(submission_id: str, reports: list[WitnessReport], unaccounted: list[str]) -> JobAnswer:
     """Conclude from all witnesses' records how a submission ended."""
     results: dict[int, TaskResult] = {}
     task_count = 0
     started: set[int] = set()
-    for testimony in testimonies:
-        task_count = max(task_count, testimony.records.task_count)
-        for outcome in testimony.records.outcomes:
+    for report in reports:
+        task_count = max(task_count, report.records.task_count)
+        for outcome in report.records.outcomes:
             if outcome.state == OutcomeState.REFUSED:
                 continue
             started.add(outcome.index)
@@ -233,8 +231,8 @@
                 results[outcome.index] = TaskResult(
                     index=outcome.index,
                     body=outcome.detail,
-                    agent=testimony.witness.agent,
-                    domain=testimony.witness.domain,
+                    agent=report.witness.agent,
+                    domain=report.witness.domain,
                     run_time_ms=outcome.run_time_ms,
                 )
     if task_count > 0 and len(results) == task_count:
--- a/persimmoncrank/coordination/_submissions.py
+++ b/persimmoncrank/coordination/_submissions.py
@@ -163,13 +163,18 @@
         answer = await self._call(peer.rpc_address, message, ForwardReply, FORWARD_TIMEOUT_S)
         match answer:
             case Ok(reply) if reply.is_known:
-                log.info("routing: forwarded entry=%s", peer.incarnation)
+                log.info(
+                    "routing: forwarded submission=%s entry=%s",
+                    _submission_of(message),
+                    peer.incarnation,
+                )
                 return _forwarded(reply)
             case Ok(_):
                 return None
             case Err(error):
                 log.warning(
-                    "routing: issuer does not answer entry=%s cause=%s",
+                    "routing: issuer does not answer submission=%s entry=%s cause=%s",
+                    _submission_of(message),
                     peer.incarnation,
                     error.message,
                 )
@@ -192,6 +197,12 @@
         return _to_reply(answer)
 
 
+def _submission_of(message: ForwardJob | ForwardLookup) -> str:
+    if isinstance(message, ForwardJob):
+        return message.spec.submission_id
+    return message.submission_id
+
+
 def _is_running(answer: Answer) -> bool:
     return answer.is_ok() and answer.unwrap().state == JobState.RUNNING
 
--- /dev/null
+++ b/persimmoncrank/tests/test_config_keeper.py
@@ -0,0 +1,56 @@
+"""Tests of currency through outages and isolation."""
+
+from __future__ import annotations
+
+import anyio
+
+from persimmoncrank.protocol import ErrorKind
+from persimmoncrank.tests.base import make_job, run_virtual, start_world
+from persimmoncrank.tests.invariants import check_all
+
+HOUR_S = 3_600.0
+JOBS_IN_AN_HOUR = 60
+
+
+def test_majority_works_on_through_a_store_outage_of_an_hour() -> None:
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            world = await start_world(group, seed=51, agents=2)
+            world.platform.faults.is_down = True
+            for number in range(JOBS_IN_AN_HOUR):
+                await anyio.sleep(HOUR_S / JOBS_IN_AN_HOUR)
+                entry = f"e{number % 3}"
+                spec = make_job(await world.issue_id(entry), tasks=6)
+                assert (await world.submit(entry, spec)).is_complete, number
+            world.platform.faults.is_down = False
+            await anyio.sleep(2.0)
+            assert (await world.withdraw("e0", "monza")).unwrap().state == "accepted"
+            check_all(world.history)
+            group.cancel_scope.cancel()
+
+    run_virtual(main, seed=51)
+
+
+def test_isolated_entry_stops_in_time_and_resumes_by_itself() -> None:
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            world = await start_world(group, seed=52)
+            isolated = world.entries["e0"]
+            cuts = {frozenset(("e0", other)) for other in ("e1", "e2")}
+            world.network.faults.cut_pairs |= cuts
+            isolated.process.has_store = False
+            await anyio.sleep(2.1)
+            assert not isolated.node.is_ready()
+            refused = isolated.node.jobs.issue_ids(1).unwrap_err()
+            assert (refused.kind, refused.not_run) == (ErrorKind.NOT_CURRENT, True)
+            spec = make_job(await world.issue_id("e1"), tasks=6)
+            assert (await world.submit("e1", spec)).is_complete
+            world.network.faults.cut_pairs -= cuts
+            isolated.process.has_store = True
+            await anyio.sleep(1.5)
+            assert isolated.node.is_ready()
+            spec = make_job(await world.issue_id("e0"), tasks=6)
+            assert (await world.submit("e0", spec)).is_complete
+            group.cancel_scope.cancel()
+
+    run_virtual(main, seed=52)
