Show the version of every process in the status; rank a bounded part of the agents

Intents over sets of names, ending of processes in the fault harness, the store's refusal and the printing of answers stood twice or more; each stands once now.

--- a/persimmoncrank/commands/_api.py
+++ b/persimmoncrank/commands/_api.py
@@ -4,12 +4,15 @@
 
 import logging
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import httpcore
 import msgspec
 from result import Err, Ok, Result
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 log = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT_S = 2.0
@@ -45,6 +48,18 @@
     error: ApiFailure
 
 
+def present(
+    answer: Result[Any, ApiFailure], describe: Callable[[Any], list[str]], *, is_json: bool
+) -> Result[str, str]:
+    """Return an answer as text, described in lines or as JSON; a failure in one line."""
+    if answer.is_err():
+        return Err(str(answer.unwrap_err()))
+    body = answer.unwrap()
+    if is_json:
+        return Ok(msgspec.json.format(msgspec.json.encode(body)).decode())
+    return Ok("\n".join(describe(body)))
+
+
 def call_api(
     entry_url: str, method: str, path: str, body: Any = None, headers: dict[str, str] | None = None
 ) -> Result[Any, ApiFailure]:
--- a/persimmoncrank/commands/plan.py
+++ b/persimmoncrank/commands/plan.py
@@ -6,10 +6,9 @@
 from dataclasses import asdict, dataclass
 from typing import TYPE_CHECKING, Any
 
-import msgspec
-from result import Err, Ok, Result
+from result import Err, Result
 
-from persimmoncrank.commands._api import ApiFailure, call_api
+from persimmoncrank.commands._api import ApiFailure, call_api, present
 
 if TYPE_CHECKING:
     from persimmoncrank.protocol import Intent
@@ -37,12 +36,13 @@
 def propose(settings: PlanSettings, intent: Intent) -> Result[str, str]:
     """Ask for a plan and describe it."""
     answer = call_api(settings.entry_url, "POST", "/v1/plans", asdict(intent))
-    return _describe(settings, answer)
+    return present(answer, describe_plan, is_json=settings.is_json)
 
 
 def show(settings: PlanSettings, plan_id: str) -> Result[str, str]:
     """Describe a plan and how far it has come."""
-    return _describe(settings, call_api(settings.entry_url, "GET", f"/v1/plans/{plan_id}"))
+    answer = call_api(settings.entry_url, "GET", f"/v1/plans/{plan_id}")
+    return present(answer, describe_plan, is_json=settings.is_json)
 
 
 def confirm(settings: PlanSettings, plan_id: str) -> Result[str, str]:
@@ -50,7 +50,7 @@
     answer = call_api(settings.entry_url, "POST", f"/v1/plans/{plan_id}/confirm")
     if answer.is_err() and answer.unwrap_err().kind == CONFLICT:
         return Err(_fresh_plan(settings, plan_id, answer.unwrap_err()))
-    return _describe(settings, answer)
+    return present(answer, describe_plan, is_json=settings.is_json)
 
 
 def _fresh_plan(settings: PlanSettings, plan_id: str, conflict: ApiFailure) -> str:
@@ -66,16 +66,6 @@
     return "\n".join((rejected, "a fresh plan:", *describe_plan(fresh.unwrap())))
 
 
-def _describe(settings: PlanSettings, answer: Result[Any, ApiFailure]) -> Result[str, str]:
-    match answer:
-        case Err(failure):
-            return Err(str(failure))
-        case Ok(report) if settings.is_json:
-            return Ok(msgspec.json.format(msgspec.json.encode(report)).decode())
-        case Ok(report):
-            return Ok("\n".join(describe_plan(report)))
-
-
 def describe_plan(report: Any) -> list[str]:
     """Return a plan in readable lines."""
     plan = report["plan"]
--- a/persimmoncrank/commands/status.py
+++ b/persimmoncrank/commands/status.py
@@ -4,12 +4,12 @@
 
 import logging
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-import msgspec
-from result import Err, Ok, Result
+from persimmoncrank.commands._api import call_api, present
 
-from persimmoncrank.commands._api import call_api
+if TYPE_CHECKING:
+    from result import Result
 
 log = logging.getLogger(__name__)
 
@@ -25,13 +25,7 @@
 def status(settings: StatusSettings) -> Result[str, str]:
     """Return what an entry knows of the system, as text."""
     answer = call_api(settings.entry_url, "GET", "/v1/status")
-    match answer:
-        case Err(failure):
-            return Err(str(failure))
-        case Ok(report) if settings.is_json:
-            return Ok(msgspec.json.format(msgspec.json.encode(report)).decode())
-        case Ok(report):
-            return Ok("\n".join(describe_status(report)))
+    return present(answer, describe_status, is_json=settings.is_json)
 
 
 def describe_status(report: Any) -> list[str]:
@@ -66,7 +60,10 @@
 
 
 def _describe_agent(agent: Any) -> str:
+    held = "version not heard"
+    if agent["version"] is not None:
+        held = f"version {agent['version']}, heard {agent['heard_ms']} ms ago"
     return (
         f"{agent['incarnation']} in {agent['domain']}: {agent['status']},"
-        f" backend server {agent['backend']}, {agent['slots']} slots"
+        f" backend server {agent['backend']}, {agent['slots']} slots, {held}"
     )
--- a/persimmoncrank/commands/submit.py
+++ b/persimmoncrank/commands/submit.py
@@ -8,9 +8,9 @@
 from typing import Any
 
 import msgspec
-from result import Err, Ok, Result
+from result import Err, Result
 
-from persimmoncrank.commands._api import ApiFailure, call_api
+from persimmoncrank.commands._api import ApiFailure, call_api, present
 
 log = logging.getLogger(__name__)
 
@@ -31,14 +31,7 @@
         job = msgspec.json.decode(settings.job_file.read_bytes())
     except (OSError, msgspec.DecodeError) as error:
         return Err(f"{settings.job_file}: {error}")
-    answer = _submit_job(settings, job)
-    match answer:
-        case Ok(body) if settings.is_json:
-            return Ok(msgspec.json.format(msgspec.json.encode(body)).decode())
-        case Ok(body):
-            return Ok("\n".join(describe_answer(body)))
-        case Err(failure):
-            return Err(str(failure))
+    return present(_submit_job(settings, job), describe_answer, is_json=settings.is_json)
 
 
 def _submit_job(settings: SubmitSettings, job: Any) -> Result[Any, ApiFailure]:
--- a/persimmoncrank/coordination/_claims.py
+++ b/persimmoncrank/coordination/_claims.py
@@ -12,7 +12,6 @@
 from persimmoncrank.protocol import (
     ClaimRow,
     Committed,
-    ErrorKind,
     Row,
     ServiceError,
     StoreError,
@@ -22,7 +21,7 @@
     Write,
     decode_message,
     encode_message,
-    refusal,
+    store_refusal,
 )
 
 if TYPE_CHECKING:
@@ -35,7 +34,6 @@
 
 CLAIM_ATTEMPTS = 5
 CLAIM_RETRY_INTERVAL_S = 0.1
-RETRY_AFTER_MS = 1_000
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -85,7 +83,7 @@
                 case Err(_):
                     continue
         message = "the idempotency key could not be claimed: the store does not answer"
-        return Err(refusal(ErrorKind.STORE_UNAVAILABLE, message, retry_after_ms=RETRY_AFTER_MS))
+        return Err(store_refusal(message))
 
     async def _write(
         self, row_key: str, submission_id: str, expected_version: int
--- a/persimmoncrank/coordination/_config_writer.py
+++ b/persimmoncrank/coordination/_config_writer.py
@@ -22,6 +22,7 @@
     decode_message,
     encode_message,
     refusal,
+    store_refusal,
 )
 from persimmoncrank.state import next_elector_groups
 
@@ -124,7 +125,7 @@
         head = await self._table.get(self._keys.head)
         snapshot = await self._table.get(self._keys.snapshot)
         if head.is_err() or snapshot.is_err():
-            return Err(_store_unavailable("the configuration could not be read"))
+            return Err(store_refusal("the configuration could not be read"))
         head_row, snapshot_row = head.unwrap(), snapshot.unwrap()
         if head_row is None or snapshot_row is None:
             empty = _Base(snapshot=ConfigSnapshot(), head_row_version=0, snapshot_row_version=0)
@@ -179,7 +180,3 @@
                 retry_after_ms=RETRY_AFTER_MS,
             )
         )
-
-
-def _store_unavailable(message: str) -> ServiceError:
-    return refusal(ErrorKind.STORE_UNAVAILABLE, message, retry_after_ms=RETRY_AFTER_MS)
--- a/persimmoncrank/coordination/_entry_membership.py
+++ b/persimmoncrank/coordination/_entry_membership.py
@@ -12,6 +12,7 @@
     AgentInfo,
     AgentRow,
     AgentStatus,
+    AgentVersion,
     Call,
     EntryInfo,
     Heartbeat,
@@ -21,6 +22,8 @@
     SyncRequest,
     TableService,
     Transaction,
+    VersionsReply,
+    VersionsRequest,
     Write,
     agent_config,
     encode_message,
@@ -107,7 +110,8 @@
         )
 
     def _hear(self, info: AgentInfo, message: Heartbeat, now_s: float) -> None:
-        if self._views.hear(info, message.status, now_s=now_s):
+        is_changed = self._views.hear(info, message.status, now_s=now_s, version=message.version)
+        if is_changed:
             log.info(
                 "membership: agent is %s agent=%s domain=%s",
                 message.status,
@@ -264,6 +268,42 @@
         is_same = self._views.digest(reply.entry) == reply.agents_digest
         self._peer_positions[reply.entry] = reply.position if is_same else 0
 
+    async def versions(self, _message: VersionsRequest) -> VersionsReply:
+        """Tell which versions the agents hold that this entry is home to."""
+        now_s = anyio.current_time()
+        agents = tuple(
+            AgentVersion(
+                agent=view.info.incarnation,
+                version=view.version,
+                heard_ms=int((now_s - view.heard_at_s) * 1000),
+            )
+            for view in self._views.all()
+            if self._keeper.incarnation in view.reports
+        )
+        return VersionsReply(entry=self._keeper.incarnation, agents=agents)
+
+    async def all_versions(self) -> dict[str, AgentVersion]:
+        """Ask every entry for its agents' versions; return the last heard of each agent."""
+        found: dict[str, AgentVersion] = {}
+
+        def take(reply: VersionsReply) -> None:
+            for agent in reply.agents:
+                known = found.get(agent.agent)
+                if known is None or agent.heard_ms < known.heard_ms:
+                    found[agent.agent] = agent
+
+        async def ask(peer: EntryInfo) -> None:
+            request = VersionsRequest(entry=self._keeper.incarnation)
+            reply = await self._call(peer.rpc_address, request, VersionsReply, SYNC_TIMEOUT_S)
+            reply.map(take)
+
+        take(await self.versions(VersionsRequest(entry=self._keeper.incarnation)))
+        async with anyio.create_task_group() as group:
+            for entry in self._keeper.snapshot.entries:
+                if entry.incarnation != self._keeper.incarnation:
+                    group.start_soon(ask, entry)
+        return found
+
     async def sync(self, message: SyncRequest) -> SyncReply:
         """Answer a peer's question."""
         self._keeper.learn_acceptance(message.accepted_version)
--- a/persimmoncrank/coordination/_entry_node.py
+++ b/persimmoncrank/coordination/_entry_node.py
@@ -22,13 +22,12 @@
 from persimmoncrank.coordination._plans import Plans
 from persimmoncrank.coordination._recovery import Recovery
 from persimmoncrank.coordination._registration import Registration
+from persimmoncrank.coordination._status import make_status
 from persimmoncrank.coordination._submissions import Submissions
 from persimmoncrank.protocol import (
-    AgentReport,
     Call,
     CloseSubmissions,
     EntryInfo,
-    EntryReport,
     ForwardJob,
     ForwardLookup,
     Handler,
@@ -38,6 +37,7 @@
     StatusReport,
     SyncRequest,
     TableService,
+    VersionsRequest,
 )
 from persimmoncrank.state import AgentViews, EntryCounters, ServiceTimes
 
@@ -138,6 +138,7 @@
         return (
             Handler(request_type=Heartbeat, handle=self.membership.heartbeat),
             Handler(request_type=SyncRequest, handle=self.membership.sync),
+            Handler(request_type=VersionsRequest, handle=self.membership.versions),
             Handler(request_type=ForwardJob, handle=self.submissions.forwarded_job),
             Handler(request_type=ForwardLookup, handle=self.submissions.forwarded_lookup),
             Handler(request_type=HandOver, handle=self._handed.take),
@@ -209,50 +210,11 @@
             await anyio.sleep(EXPIRY_INTERVAL_S)
             self._handed.expire()
 
-    def status(self) -> StatusReport:
-        """Return what this entry knows of the system."""
-        held = self.keeper.snapshot
-        peers = {peer.incarnation: peer for peer in self.keeper.peer_versions}
-        now_s = anyio.current_time()
-
-        def report_entry(entry: EntryInfo) -> EntryReport:
-            if entry.incarnation == self.info.incarnation:
-                version, age_ms = held.version, 0
-            elif entry.incarnation in peers:
-                peer = peers[entry.incarnation]
-                version, age_ms = peer.version, int((now_s - peer.asked_at_s) * 1000)
-            else:
-                return EntryReport(
-                    incarnation=entry.incarnation, domain=entry.domain, version=None, age_ms=None
-                )
-            return EntryReport(
-                incarnation=entry.incarnation,
-                domain=entry.domain,
-                version=version,
-                age_ms=age_ms,
-            )
-
-        is_accepted = self.keeper.accepted_version >= held.version
-        return StatusReport(
-            entry=self.info.incarnation,
-            version=held.version,
-            accepted_version=self.keeper.accepted_version,
-            age_ms=self.keeper.age_ms(),
-            waiting_for=() if is_accepted else self.keeper.missing_acknowledgements(),
-            withdrawn_domains=held.withdrawn_domains,
-            retired_backends=held.retired_backends,
-            customers=tuple(c.customer for c in held.commitments if not c.is_ended),
+    async def status(self) -> StatusReport:
+        """Return what this entry and its peers know of the system."""
+        return make_status(
+            keeper=self.keeper,
+            views=self.views,
             running_jobs=self.jobs.running_count,
-            entries=tuple(report_entry(entry) for entry in held.entries),
-            agents=tuple(
-                AgentReport(
-                    incarnation=view.info.incarnation,
-                    backend=view.info.backend,
-                    domain=view.info.domain,
-                    status=view.status,
-                    slots=view.info.slots,
-                    outstanding=view.outstanding,
-                )
-                for view in self.views.all()
-            ),
+            versions=await self.membership.all_versions(),
         )
--- a/persimmoncrank/coordination/_intents.py
+++ b/persimmoncrank/coordination/_intents.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, fields, replace
+from typing import Any
 
 from result import Err, Ok, Result
 
@@ -76,52 +77,62 @@
     )
 
 
-def _withdraw_domain(snapshot: ConfigSnapshot, intent: Intent) -> Result[Applied, ServiceError]:
-    if intent.target in snapshot.withdrawn_domains:
-        return _invalid(f"failure domain {intent.target!r} is withdrawn already", "target")
-    domains = (*snapshot.withdrawn_domains, intent.target)
-    return Ok(
-        Applied(
-            snapshot=replace(snapshot, withdrawn_domains=domains),
-            changes=(f"withdraw failure domain {intent.target}: no task starts there",),
-        )
-    )
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _NamedSet:
+    """A set of names in the configuration, and the words for adding and removing one."""
+
+    field: str
+    noun: str
+    added: str
+    add: str
+    remove: str
+
+
+_WITHDRAWN_DOMAINS = _NamedSet(
+    field="withdrawn_domains",
+    noun="failure domain",
+    added="withdrawn",
+    add="withdraw failure domain {}: no task starts there",
+    remove="return failure domain {}: tasks may start there",
+)
+_RETIRED_BACKENDS = _NamedSet(
+    field="retired_backends",
+    noun="backend server",
+    added="retired",
+    add="retire backend server {}: it gets no new work",
+    remove="return backend server {}: it gets work again",
+)
 
 
-def _return_domain(snapshot: ConfigSnapshot, intent: Intent) -> Result[Applied, ServiceError]:
-    if intent.target not in snapshot.withdrawn_domains:
-        return _invalid(f"failure domain {intent.target!r} is not withdrawn", "target")
-    domains = tuple(d for d in snapshot.withdrawn_domains if d != intent.target)
-    return Ok(
-        Applied(
-            snapshot=replace(snapshot, withdrawn_domains=domains),
-            changes=(f"return failure domain {intent.target}: tasks may start there",),
-        )
-    )
+def _adding_to(named: _NamedSet) -> Apply:
+    """Return what adds an intent's target to a set of names."""
 
+    def apply(snapshot: ConfigSnapshot, intent: Intent) -> Result[Applied, ServiceError]:
+        names = getattr(snapshot, named.field)
+        if intent.target in names:
+            message = f"{named.noun} {intent.target!r} is {named.added} already"
+            return _invalid(message, "target")
+        changes: dict[str, Any] = {named.field: (*names, intent.target)}
+        changed = replace(snapshot, **changes)
+        return Ok(Applied(snapshot=changed, changes=(named.add.format(intent.target),)))
 
-def _retire_backend(snapshot: ConfigSnapshot, intent: Intent) -> Result[Applied, ServiceError]:
-    if intent.target in snapshot.retired_backends:
-        return _invalid(f"backend server {intent.target!r} is retired already", "target")
-    backends = (*snapshot.retired_backends, intent.target)
-    return Ok(
-        Applied(
-            snapshot=replace(snapshot, retired_backends=backends),
-            changes=(f"retire backend server {intent.target}: it gets no new work",),
-        )
-    )
+    return apply
 
 
-def _return_backend(snapshot: ConfigSnapshot, intent: Intent) -> Result[Applied, ServiceError]:
-    if intent.target not in snapshot.retired_backends:
-        return _invalid(f"backend server {intent.target!r} is not retired", "target")
-    backends = tuple(b for b in snapshot.retired_backends if b != intent.target)
-    return Ok(
-        Applied(
-            snapshot=replace(snapshot, retired_backends=backends),
-            changes=(f"return backend server {intent.target}: it gets work again",),
-        )
-    )
+def _removing_from(named: _NamedSet) -> Apply:
+    """Return what removes an intent's target from a set of names."""
+
+    def apply(snapshot: ConfigSnapshot, intent: Intent) -> Result[Applied, ServiceError]:
+        names = getattr(snapshot, named.field)
+        if intent.target not in names:
+            message = f"{named.noun} {intent.target!r} is not {named.added}"
+            return _invalid(message, "target")
+        kept = tuple(name for name in names if name != intent.target)
+        changes: dict[str, Any] = {named.field: kept}
+        changed = replace(snapshot, **changes)
+        return Ok(Applied(snapshot=changed, changes=(named.remove.format(intent.target),)))
+
+    return apply
 
 
 def _set_limit(snapshot: ConfigSnapshot, intent: Intent) -> Result[Applied, ServiceError]:
@@ -169,10 +180,10 @@
 _APPLY: dict[IntentKind, Apply] = {
     IntentKind.ADD_CUSTOMER: _add_customer,
     IntentKind.END_CUSTOMER: _end_customer,
-    IntentKind.WITHDRAW_DOMAIN: _withdraw_domain,
-    IntentKind.RETURN_DOMAIN: _return_domain,
-    IntentKind.RETIRE_BACKEND: _retire_backend,
-    IntentKind.RETURN_BACKEND: _return_backend,
+    IntentKind.WITHDRAW_DOMAIN: _adding_to(_WITHDRAWN_DOMAINS),
+    IntentKind.RETURN_DOMAIN: _removing_from(_WITHDRAWN_DOMAINS),
+    IntentKind.RETIRE_BACKEND: _adding_to(_RETIRED_BACKENDS),
+    IntentKind.RETURN_BACKEND: _removing_from(_RETIRED_BACKENDS),
     IntentKind.SET_LIMIT: _set_limit,
     IntentKind.EXPEL: _expel,
 }
--- a/persimmoncrank/coordination/_placement.py
+++ b/persimmoncrank/coordination/_placement.py
@@ -20,6 +20,9 @@
 """A job is not spread so thinly that its batches hold fewer tasks than this."""
 
 MIN_AGENTS_PER_JOB = 8
+MAX_AGENTS_RANKED = 128
+"""Among more agents than this each placement looks at the next ones in turn, so that its cost does
+not grow with the number of agents."""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -87,11 +90,12 @@
 def shortest_completion(views: AgentViews, times: ServiceTimes) -> Place:
     """Return the policy that places each task where it should complete first."""
     eligible = _EligibleAgents(views=views)
+    turn = _Turn()
 
     def place(request: PlacementRequest, config: ConfigSnapshot, now_s: float) -> Placement:
         agents = eligible.find(request.commitment, config)
         candidates = [view for view in agents if view.quarantined_until_s <= now_s]
-        chooser = _Chooser(times=times, request=request)
+        chooser = _Chooser(times=times, request=request, turn=turn)
         return chooser.run(candidates)
 
     return place
@@ -119,6 +123,23 @@
         return found
 
 
+class _Turn:
+    """Takes a part of a long list of agents in turn."""
+
+    def __init__(self) -> None:
+        self._offset = 0
+
+    def take(self, agents: list[AgentView]) -> list[AgentView]:
+        """Return the next agents, or all of a short list."""
+        count = len(agents)
+        if count <= MAX_AGENTS_RANKED:
+            return agents
+        start = self._offset % count
+        self._offset = start + MAX_AGENTS_RANKED
+        taken = agents[start : start + MAX_AGENTS_RANKED]
+        return taken + agents[: MAX_AGENTS_RANKED - len(taken)]
+
+
 @dataclass(frozen=True, kw_only=True, slots=True, order=True)
 class _Candidate:
     """One agent as a choice for the next task; among equals the emptier one comes first."""
@@ -133,8 +154,9 @@
 class _Chooser:
     """The state of one placement: the expected backlog of each candidate."""
 
-    def __init__(self, *, times: ServiceTimes, request: PlacementRequest) -> None:
+    def __init__(self, *, times: ServiceTimes, request: PlacementRequest, turn: _Turn) -> None:
         self._times = times
+        self._turn = turn
         self._request = request
         self._chosen: dict[str, list[BatchTask]] = {}
         self._expected_service_ms: dict[str, dict[int, float]] = {}
@@ -165,7 +187,7 @@
     def _place_kind(self, tasks: list[BatchTask], candidates: list[AgentView]) -> list[BatchTask]:
         kind = tasks[0].spec.kind
         mean_ms = sum(task.spec.run_time_ms for task in tasks) / len(tasks)
-        able = [view for view in candidates if kind in view.info.kinds]
+        able = self._turn.take([view for view in candidates if kind in view.info.kinds])
 
         def rank(view: AgentView) -> tuple[float, float]:
             service_ms = self._service_ms(view, kind, mean_ms)
--- a/persimmoncrank/coordination/_plans.py
+++ b/persimmoncrank/coordination/_plans.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from persimmoncrank.coordination._config_keeper import CURRENCY_LIMIT_S, ConfigKeeper
-from persimmoncrank.coordination._config_writer import RETRY_AFTER_MS, ConfigWriter, applied_key
+from persimmoncrank.coordination._config_writer import ConfigWriter, applied_key
 from persimmoncrank.coordination._intents import apply_intent, count_slots, unmet_commitments
 from persimmoncrank.protocol import (
     ConfigHead,
@@ -27,6 +27,7 @@
     decode_message,
     encode_message,
     refusal,
+    store_refusal,
 )
 
 if TYPE_CHECKING:
@@ -39,6 +40,7 @@
 
 ACCEPTANCE_WAIT_S = 5.0
 KEEP_ATTEMPTS = 3
+STORE_SILENT = "the platform's store does not answer"
 IN_FORCE_WAIT_S = CURRENCY_LIMIT_S
 
 
@@ -68,13 +70,13 @@
         """Answer an intent with a plan, based on the store's newest version."""
         polled = await self._keeper.poll_store()
         if polled.is_err():
-            return Err(_store_unavailable())
+            return Err(store_refusal(STORE_SILENT))
         plan = self._make_plan(intent)
         if plan.is_err():
             return Err(plan.unwrap_err())
         made = plan.unwrap()
         if not await self._keep(made):
-            return Err(_store_unavailable())
+            return Err(store_refusal(STORE_SILENT))
         log.info(
             "plans: proposed plan=%s intent=%s target=%s base_version=%d",
             made.plan_id,
@@ -121,7 +123,7 @@
         read = await self._table.get(_plan_key(plan_id))
         applied = await self._table.get(applied_key(plan_id))
         if read.is_err() or applied.is_err():
-            return Err(_store_unavailable())
+            return Err(store_refusal(STORE_SILENT))
         row, applied_row = read.unwrap(), applied.unwrap()
         if row is None:
             return Err(refusal(ErrorKind.NOT_FOUND, f"no plan {plan_id!r}", field="plan_id"))
@@ -171,11 +173,3 @@
 
 def _plan_key(plan_id: str) -> str:
     return f"plans/{plan_id}"
-
-
-def _store_unavailable() -> ServiceError:
-    return refusal(
-        ErrorKind.STORE_UNAVAILABLE,
-        "the platform's store does not answer",
-        retry_after_ms=RETRY_AFTER_MS,
-    )
--- a/persimmoncrank/protocol/__init__.py
+++ b/persimmoncrank/protocol/__init__.py
@@ -43,6 +43,7 @@
     ErrorKind,
     ServiceError,
     refusal,
+    store_refusal,
 )
 from persimmoncrank.protocol._forwarding import (
     ClaimRow,
@@ -65,10 +66,13 @@
     AgentInfo,
     AgentRow,
     AgentStatus,
+    AgentVersion,
     Heartbeat,
     HeartbeatReply,
     SyncReply,
     SyncRequest,
+    VersionsReply,
+    VersionsRequest,
 )
 from persimmoncrank.protocol._plans import (
     AgentReport,
@@ -102,6 +106,7 @@
     "AgentReport",
     "AgentRow",
     "AgentStatus",
+    "AgentVersion",
     "AnswerRule",
     "BatchReply",
     "BatchTask",
@@ -157,6 +162,8 @@
     "TaskResult",
     "TaskSpec",
     "Transaction",
+    "VersionsReply",
+    "VersionsRequest",
     "Write",
     "agent_config",
     "complete_answer",
@@ -169,4 +176,5 @@
     "make_incarnation",
     "parse_submission_id",
     "refusal",
+    "store_refusal",
 ]
--- a/persimmoncrank/protocol/_errors.py
+++ b/persimmoncrank/protocol/_errors.py
@@ -96,6 +96,14 @@
 """Maps each error kind to its answer; a test checks that no kind is missing."""
 
 
+STORE_RETRY_AFTER_MS = 500
+
+
+def store_refusal(message: str) -> ServiceError:
+    """Return the refusal of a request that needs the store while that does not answer."""
+    return refusal(ErrorKind.STORE_UNAVAILABLE, message, retry_after_ms=STORE_RETRY_AFTER_MS)
+
+
 def refusal(
     kind: ErrorKind, message: str, *, field: str | None = None, retry_after_ms: int | None = None
 ) -> ServiceError:
--- a/persimmoncrank/protocol/_membership.py
+++ b/persimmoncrank/protocol/_membership.py
@@ -103,6 +103,30 @@
     snapshot: ConfigSnapshot | None = None
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class VersionsRequest:
+    """Asks an entry which versions the agents hold that it is home to."""
+
+    entry: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AgentVersion:
+    """The version that an agent held at its last heartbeat, and how long ago that was."""
+
+    agent: str
+    version: int
+    heard_ms: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class VersionsReply:
+    """The versions of the agents that an entry is home to."""
+
+    entry: str
+    agents: tuple[AgentVersion, ...]
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AgentRow:
     """The durable registration of an agent's incarnation.
--- a/persimmoncrank/protocol/_plans.py
+++ b/persimmoncrank/protocol/_plans.py
@@ -75,7 +75,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class AgentReport:
-    """One agent in a status report."""
+    """One agent in a status report.
+
+    ``version`` is what it held at its last heartbeat ``heard_ms`` ago, or None if no entry knows.
+    """
 
     incarnation: str
     backend: str
@@ -83,6 +86,8 @@
     status: str
     slots: int
     outstanding: int
+    version: int | None
+    heard_ms: int | None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/persimmoncrank/state/_agent_views.py
+++ b/persimmoncrank/state/_agent_views.py
@@ -32,6 +32,7 @@
     info: AgentInfo
     reports: dict[str, AgentStatus] = field(default_factory=dict)
     heard_at_s: float = 0.0
+    version: int = 0
     position: int = 0
     outstanding: int = 0
     outstanding_ms: float = 0.0
@@ -119,10 +120,11 @@
         """Return the view of one agent."""
         return self._views.get(incarnation)
 
-    def hear(self, info: AgentInfo, status: AgentStatus, *, now_s: float) -> bool:
+    def hear(self, info: AgentInfo, status: AgentStatus, *, now_s: float, version: int = 0) -> bool:
         """Note a heartbeat that arrived here; return True if the own report changed."""
         view = self._views.setdefault(info.incarnation, AgentView(info=info))
         view.heard_at_s = now_s
+        view.version = version
         return self.report(view, status)
 
     def report(self, view: AgentView, status: AgentStatus) -> bool:
--- a/persimmoncrank/tests/faults.py
+++ b/persimmoncrank/tests/faults.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from persimmoncrank.bench import Answered, Process, World
+    from persimmoncrank.bench._world import AgentHandle, EntryHandle
     from persimmoncrank.protocol import JobSpec
 
 log = logging.getLogger(__name__)
@@ -68,16 +69,21 @@
     process.resume()
 
 
-async def _end_entry(world: World, fault: Fault) -> None:
-    name = _entry(world, fault.target)
-    handle = world.entries[name]
-    if fault.kind == FaultKind.KILL_ENTRY:
+async def _end(handle: EntryHandle | AgentHandle, *, is_killed: bool) -> None:
+    """Kill a process, or stop it gracefully and wait until it has ended."""
+    if is_killed:
         handle.process.kill()
     else:
         handle.node.stop()
-        while handle.process.is_alive:
-            await anyio.sleep(0.1)
+    while handle.process.is_alive:
+        await anyio.sleep(0.1)
     await anyio.sleep(REPLACED_AFTER_S)
+
+
+async def _end_entry(world: World, fault: Fault) -> None:
+    name = _entry(world, fault.target)
+    handle = world.entries[name]
+    await _end(handle, is_killed=fault.kind == FaultKind.KILL_ENTRY)
     if world.entries[name] is handle:
         world.start_entry(name, handle.process.domain)
 
@@ -85,13 +91,7 @@
 async def _end_agent(world: World, fault: Fault) -> None:
     name = _agent(world, fault.target)
     handle = world.agents[name]
-    if fault.kind == FaultKind.KILL_AGENT:
-        handle.process.kill()
-    else:
-        handle.node.stop()
-        while handle.process.is_alive:
-            await anyio.sleep(0.1)
-    await anyio.sleep(REPLACED_AFTER_S)
+    await _end(handle, is_killed=fault.kind == FaultKind.KILL_AGENT)
     if world.agents[name] is handle:
         world.start_agent(name, handle.process.domain, handle.options)
 
--- a/persimmoncrank/tests/test_entry_node.py
+++ b/persimmoncrank/tests/test_entry_node.py
@@ -140,3 +140,35 @@
             group.cancel_scope.cancel()
 
     run_virtual(main)
+
+
+@pytest.mark.parametrize(("is_idempotent", "is_complete"), [(True, True), (False, False)])
+def test_only_idempotent_work_is_repeated_after_a_failure(
+    is_idempotent: bool, is_complete: bool
+) -> None:
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            world = await start_world(group, seed=8)
+            world.agents["a0"].options.is_failing = True
+            spec = make_job(await world.issue_id("e0"), tasks=12, is_idempotent=is_idempotent)
+            answered = await world.submit("e0", spec)
+            assert answered.is_complete is is_complete
+            check_all(world.history)
+            group.cancel_scope.cancel()
+
+    run_virtual(main)
+
+
+def test_status_shows_the_version_of_every_process() -> None:
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            world = await start_world(group, seed=9)
+            await anyio.sleep(2.0)
+            for handle in world.entries.values():
+                report = await handle.node.status()
+                versions = [entry.version for entry in report.entries]
+                versions += [agent.version for agent in report.agents]
+                assert versions == [report.version] * 9
+            group.cancel_scope.cancel()
+
+    run_virtual(main)
--- a/persimmoncrank/transport/_entry_http.py
+++ b/persimmoncrank/transport/_entry_http.py
@@ -201,7 +201,7 @@
 
     async def status(self, _request: Request) -> Response:
         """Tell what this entry knows of the system."""
-        return json_response(self._node.status())
+        return json_response(await self._node.status())
 
 
 CANCEL_WAIT_MS = 1_500
