--- a/persimmoncrank/coordination/_config_writer.py
+++ b/persimmoncrank/coordination/_config_writer.py
@@ -45,16 +45,27 @@
     snapshot_row_version: int
 
 
+APPLIED_ROWS_PREFIX = "applied/"
+
+
 def applied_key(plan_id: str) -> str:
     """Return the key of the row that proves that a plan's write took effect."""
-    return f"applied/{plan_id}"
+    return f"{APPLIED_ROWS_PREFIX}{plan_id}"
 
 
 class ConfigWriter:
     """Writes configuration changes on behalf of one entry."""
 
-    def __init__(self, *, region: str, table: TableService, keeper: ConfigKeeper) -> None:
+    def __init__(
+        self,
+        *,
+        region: str,
+        table: TableService,
+        keeper: ConfigKeeper,
+        unix_ms: Callable[[], int],
+    ) -> None:
         """Create a writer for a region's configuration."""
+        self._unix_ms = unix_ms
         self._keys = config_keys(region)
         self._table = table
         self._keeper = keeper
@@ -139,7 +150,8 @@
         )
 
     def _transaction(self, base: _Base, snapshot: ConfigSnapshot) -> Transaction:
-        head = encode_message(ConfigHead(version=snapshot.version))
+        written = ConfigHead(version=snapshot.version, written_at_unix_ms=self._unix_ms())
+        head = encode_message(written)
         return Transaction(
             writes=(
                 Write(key=self._keys.head, value=head, expected_version=base.head_row_version),
--- a/persimmoncrank/coordination/_entry_node.py
+++ b/persimmoncrank/coordination/_entry_node.py
@@ -78,7 +78,9 @@
         self._ports = ports
         self.views = AgentViews(self_incarnation=info.incarnation)
         self.keeper = ConfigKeeper(incarnation=info.incarnation, region=region, table=ports.table)
-        writer = ConfigWriter(region=region, table=ports.table, keeper=self.keeper)
+        writer = ConfigWriter(
+            region=region, table=ports.table, keeper=self.keeper, unix_ms=ports.unix_ms
+        )
         self.membership = EntryMembership(
             keeper=self.keeper, views=self.views, table=ports.table, call=ports.call
         )
@@ -109,6 +111,7 @@
             views=self.views,
             table=ports.table,
             new_plan_id=lambda: f"plan-{ports.rng.getrandbits(40):010x}",
+            unix_ms=ports.unix_ms,
         )
         self._registration = Registration(
             info=info,
@@ -127,6 +130,7 @@
             table=ports.table,
             views=self.views,
             keep_s=record_retention_s + limits.id_lifetime_s,
+            unix_ms=ports.unix_ms,
         )
         self._is_registered = False
         self._is_stopping = False
--- a/persimmoncrank/coordination/_plans.py
+++ b/persimmoncrank/coordination/_plans.py
@@ -40,6 +40,7 @@
 
 ACCEPTANCE_WAIT_S = 5.0
 KEEP_ATTEMPTS = 3
+PLAN_ROWS_PREFIX = "plans/"
 STORE_SILENT = "the platform's store does not answer"
 IN_FORCE_WAIT_S = CURRENCY_LIMIT_S
 
@@ -56,6 +57,7 @@
         views: AgentViews,
         table: TableService,
         new_plan_id: Callable[[], str],
+        unix_ms: Callable[[], int],
     ) -> None:
         """Create the operators' side of an entry."""
         self._keeper = keeper
@@ -64,6 +66,7 @@
         self._views = views
         self._table = table
         self._new_plan_id = new_plan_id
+        self._unix_ms = unix_ms
         self._accepted_at_s: dict[int, float] = {}
 
     async def propose(self, intent: Intent) -> Result[PlanReport, ServiceError]:
@@ -107,6 +110,7 @@
         return Ok(
             Plan(
                 plan_id=self._new_plan_id(),
+                proposed_at_unix_ms=self._unix_ms(),
                 intent=intent,
                 base_version=snapshot.operator_version,
                 changes=after.changes,
@@ -172,4 +176,4 @@
 
 
 def _plan_key(plan_id: str) -> str:
-    return f"plans/{plan_id}"
+    return f"{PLAN_ROWS_PREFIX}{plan_id}"
--- a/persimmoncrank/protocol/_config.py
+++ b/persimmoncrank/protocol/_config.py
@@ -92,6 +92,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ConfigHead:
-    """The small row that tells the newest version, so that the snapshot need not be read."""
+    """The small row that tells the newest version, so that the snapshot need not be read.
+
+    The same content proves, under a plan's own key, that the plan's write took effect.
+    """
 
     version: int
+    written_at_unix_ms: int = 0
--- a/persimmoncrank/protocol/_plans.py
+++ b/persimmoncrank/protocol/_plans.py
@@ -53,6 +53,7 @@
     """What an intent would change; it takes effect only once it is confirmed."""
 
     plan_id: str
+    proposed_at_unix_ms: int
     intent: Intent
     base_version: int
     changes: tuple[str, ...]
