--- a/persimmoncrank/coordination/_entry_node.py
+++ b/persimmoncrank/coordination/_entry_node.py
@@ -14,8 +14,8 @@
 from persimmoncrank.coordination._config_keeper import ConfigKeeper
 from persimmoncrank.coordination._config_writer import ConfigWriter
 from persimmoncrank.coordination._entry_membership import EntryMembership
+from persimmoncrank.coordination._garbage_collector import GarbageCollector
 from persimmoncrank.coordination._handover import HandedRecords
-from persimmoncrank.coordination._janitor import Janitor
 from persimmoncrank.coordination._job_run import JobPorts
 from persimmoncrank.coordination._job_table import JobLimits, JobTable
 from persimmoncrank.coordination._placement import MakePlace, shortest_completion
@@ -126,7 +126,7 @@
             retention_s=record_retention_s,
             max_result_bytes=limits.max_answer_bytes,
         )
-        self._janitor = Janitor(
+        self._garbage_collector = GarbageCollector(
             table=ports.table,
             views=self.views,
             keep_s=record_retention_s + limits.id_lifetime_s,
@@ -162,7 +162,7 @@
             group.start_soon(self._expire_handed)
             await self._register_or_stop()
             if self._is_registered:
-                self._janitor_and_watch(group)
+                self._start_watching(group)
                 await self._stopped_or_expelled()
             is_expelled = not self._is_stopping
             if not is_expelled:
@@ -170,9 +170,9 @@
             group.cancel_scope.cancel()
         return is_expelled
 
-    def _janitor_and_watch(self, group: TaskGroup) -> None:
+    def _start_watching(self, group: TaskGroup) -> None:
         group.start_soon(self._registration.watch_peers)
-        group.start_soon(lambda: self._janitor.run(may_delete=self.is_ready))
+        group.start_soon(lambda: self._garbage_collector.run(may_delete=self.is_ready))
 
     async def _register_or_stop(self) -> None:
         async with anyio.create_task_group() as group:
--- a/persimmoncrank/coordination/_janitor.py
+++ b/persimmoncrank/coordination/_garbage_collector.py
@@ -35,7 +35,7 @@
 """How long a plan and the proof that it took effect can be shown."""
 
 
-class Janitor:
+class GarbageCollector:
     """Deletes the rows of agents absent longer than any submission id lives, and of old plans."""
 
     def __init__(
@@ -46,7 +46,7 @@
         keep_s: float,
         unix_ms: Callable[[], int],
     ) -> None:
-        """Create a janitor that has seen no absent agent yet."""
+        """Create a collector that has seen no absent agent yet."""
         self._table = table
         self._views = views
         self._keep_s = keep_s
@@ -94,7 +94,7 @@
     async def _delete(self, row: Row) -> None:
         write = Write(key=row.key, value=None, expected_version=row.version)
         deleted = await self._table.transact(Transaction(writes=(write,)))
-        log.info("janitor: row dropped key=%s is_done=%s", row.key, deleted.is_ok())
+        log.info("gc: row dropped key=%s is_done=%s", row.key, deleted.is_ok())
 
 
 def _plan_written_at(row: Row) -> int:
--- a/persimmoncrank/coordination/_placement.py
+++ b/persimmoncrank/coordination/_placement.py
@@ -90,7 +90,7 @@
 def shortest_completion(views: AgentViews, times: ServiceTimes) -> Place:
     """Return the policy that places each task where it should complete first."""
     eligible = _EligibleAgents(views=views)
-    turn = _Turn()
+    turn = _RoundRobin()
 
     def place(request: PlacementRequest, config: ConfigSnapshot, now_s: float) -> Placement:
         agents = eligible.find(request.commitment, config)
@@ -123,7 +123,7 @@
         return found
 
 
-class _Turn:
+class _RoundRobin:
     """Takes a part of a long list of agents in turn."""
 
     def __init__(self) -> None:
@@ -154,7 +154,9 @@
 class _Chooser:
     """The state of one placement: the expected backlog of each candidate."""
 
-    def __init__(self, *, times: ServiceTimes, request: PlacementRequest, turn: _Turn) -> None:
+    def __init__(
+        self, *, times: ServiceTimes, request: PlacementRequest, turn: _RoundRobin
+    ) -> None:
         self._times = times
         self._turn = turn
         self._request = request
--- a/persimmoncrank/coordination/_recovery.py
+++ b/persimmoncrank/coordination/_recovery.py
@@ -44,7 +44,7 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class Witness:
+class RecordHolder:
     """A process that holds start records: an agent, or an entry that took them over."""
 
     incarnation: str
@@ -54,19 +54,19 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class WitnessReport:
-    """What one witness says of one submission."""
+class HolderReport:
+    """What one holder says of one submission."""
 
-    witness: Witness
+    holder: RecordHolder
     records: SubmissionRecords
 
 
 @dataclass(kw_only=True, slots=True)
 class Sweep:
-    """One question to all witnesses about some submissions of an issuer."""
+    """One question to all holders about some submissions of an issuer."""
 
     submission_ids: set[str] = field(default_factory=set)
-    reports: dict[str, list[WitnessReport]] = field(default_factory=dict)
+    reports: dict[str, list[HolderReport]] = field(default_factory=dict)
     unaccounted: list[str] = field(default_factory=list)
     error: ServiceError | None = None
     done: anyio.Event = field(default_factory=anyio.Event)
@@ -135,8 +135,8 @@
         return sweep
 
     async def _run_sweep(self, sweep: Sweep) -> None:
-        witnesses = await self._witnesses()
-        match witnesses:
+        holders = await self._record_holders()
+        match holders:
             case Err(error):
                 sweep.error = error
                 return
@@ -144,29 +144,29 @@
                 pass
         limiter = anyio.CapacityLimiter(MAX_ASKED_AT_ONCE)
         async with anyio.create_task_group() as group:
-            for witness in found:
-                group.start_soon(self._ask_limited, limiter, sweep, witness)
+            for holder in found:
+                group.start_soon(self._ask_limited, limiter, sweep, holder)
         sweep.done.set()
 
-    async def _witnesses(self) -> Result[list[Witness], ServiceError]:
+    async def _record_holders(self) -> Result[list[RecordHolder], ServiceError]:
         scanned = await self._table.scan(AGENT_ROWS_PREFIX, 0)
         if scanned.is_err():
             message = "the list of agents could not be read"
             return Err(_try_again(ErrorKind.STORE_UNAVAILABLE, message))
         rows = (decode_message(row.value, AgentRow) for row in scanned.unwrap().rows)
-        return Ok([self._witness(row) for row in rows])
+        return Ok([self._record_holder(row) for row in rows])
 
-    def _witness(self, row: AgentRow) -> Witness:
+    def _record_holder(self, row: AgentRow) -> RecordHolder:
         info = row.info
         if row.records_at is None:
-            return Witness(
+            return RecordHolder(
                 incarnation=info.incarnation,
                 agent=info.incarnation,
                 domain=info.domain,
                 rpc_address=info.rpc_address,
             )
         keeper = self._keeper.snapshot.entry(row.records_at)
-        return Witness(
+        return RecordHolder(
             incarnation=row.records_at,
             agent=info.incarnation,
             domain=info.domain,
@@ -174,36 +174,36 @@
         )
 
     async def _ask_limited(
-        self, limiter: anyio.CapacityLimiter, sweep: Sweep, witness: Witness
+        self, limiter: anyio.CapacityLimiter, sweep: Sweep, holder: RecordHolder
     ) -> None:
         async with limiter:
-            reply = await self._ask_until_settled(sweep, witness)
+            reply = await self._ask_until_settled(sweep, holder)
         if reply is None:
-            sweep.unaccounted.append(witness.agent)
-            log.warning("recovery: agent is unaccounted for agent=%s", witness.agent)
+            sweep.unaccounted.append(holder.agent)
+            log.warning("recovery: agent is unaccounted for agent=%s", holder.agent)
             return
         for records in reply.records:
-            report = WitnessReport(witness=witness, records=records)
+            report = HolderReport(holder=holder, records=records)
             sweep.reports.setdefault(records.submission_id, []).append(report)
 
-    async def _ask_until_settled(self, sweep: Sweep, witness: Witness) -> CloseReply | None:
+    async def _ask_until_settled(self, sweep: Sweep, holder: RecordHolder) -> CloseReply | None:
         give_up_at_s = anyio.current_time() + MAX_WAIT_FOR_RUNNING_S
         while True:
-            reply = await self._ask(sweep, witness)
+            reply = await self._ask(sweep, holder)
             if reply is None or not _has_running(reply):
                 return reply
             if anyio.current_time() >= give_up_at_s:
                 return reply
             await anyio.sleep(RUNNING_POLL_INTERVAL_S)
 
-    async def _ask(self, sweep: Sweep, witness: Witness) -> CloseReply | None:
-        if not witness.rpc_address:
+    async def _ask(self, sweep: Sweep, holder: RecordHolder) -> CloseReply | None:
+        if not holder.rpc_address:
             return None
         message = CloseSubmissions(
-            agent=witness.agent, submission_ids=tuple(sorted(sweep.submission_ids))
+            agent=holder.agent, submission_ids=tuple(sorted(sweep.submission_ids))
         )
         for _ in range(ASK_ATTEMPTS):
-            answer = await self._call(witness.rpc_address, message, CloseReply, ASK_TIMEOUT_S)
+            answer = await self._call(holder.rpc_address, message, CloseReply, ASK_TIMEOUT_S)
             match answer:
                 case Ok(reply):
                     return reply if reply.is_known else None
@@ -216,8 +216,8 @@
     return any(o.state == OutcomeState.STARTED for r in reply.records for o in r.outcomes)
 
 
-def conclude(submission_id: str, reports: list[WitnessReport], unaccounted: list[str]) -> JobAnswer:
-    """Conclude from all witnesses' records how a submission ended."""
+def conclude(submission_id: str, reports: list[HolderReport], unaccounted: list[str]) -> JobAnswer:
+    """Conclude from all holders' records how a submission ended."""
     results: dict[int, TaskResult] = {}
     task_count = 0
     started: set[int] = set()
@@ -231,8 +231,8 @@
                 results[outcome.index] = TaskResult(
                     index=outcome.index,
                     body=outcome.detail,
-                    agent=report.witness.agent,
-                    domain=report.witness.domain,
+                    agent=report.holder.agent,
+                    domain=report.holder.domain,
                     run_time_ms=outcome.run_time_ms,
                 )
     if task_count > 0 and len(results) == task_count:
--- a/persimmoncrank/tests/test_recovery.py
+++ b/persimmoncrank/tests/test_recovery.py
@@ -7,7 +7,7 @@
 import anyio
 import pytest
 
-from persimmoncrank.coordination._recovery import Witness, WitnessReport, conclude
+from persimmoncrank.coordination._recovery import HolderReport, RecordHolder, conclude
 from persimmoncrank.protocol import (
     ErrorKind,
     JobState,
@@ -31,15 +31,15 @@
 )
 
 
-def make_report(*states: OutcomeState, first: int = 0) -> WitnessReport:
-    """Return what one witness says of tasks from an index on, in a job of two tasks."""
+def make_report(*states: OutcomeState, first: int = 0) -> HolderReport:
+    """Return what one holder says of tasks from an index on, in a job of two tasks."""
     outcomes = tuple(
         TaskOutcome(index=first + number, attempt=0, state=state, detail=b"1")
         for number, state in enumerate(states)
     )
-    witness = Witness(incarnation="a", agent="a", domain="monza", rpc_address="a:1")
+    holder = RecordHolder(incarnation="a", agent="a", domain="monza", rpc_address="a:1")
     records = SubmissionRecords(submission_id="s", task_count=2, outcomes=outcomes)
-    return WitnessReport(witness=witness, records=records)
+    return HolderReport(holder=holder, records=records)
 
 
 @pytest.mark.parametrize(
@@ -57,7 +57,7 @@
     ],
 )
 def test_conclusions(
-    reports: list[WitnessReport],
+    reports: list[HolderReport],
     unaccounted: list[str],
     state: JobState,
     kind: ErrorKind | None,
