--- a/persimmoncrank/coordination/_entry_node.py
+++ b/persimmoncrank/coordination/_entry_node.py
@@ -39,7 +39,7 @@
     TableService,
     VersionsRequest,
 )
-from persimmoncrank.state import AgentViews, EntryCounters, ServiceTimes
+from persimmoncrank.state import AgentViews, EntryCounters, RetryBudget, ServiceTimes
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
@@ -93,6 +93,7 @@
             place=make_place(self.views, times),
             call=ports.call,
             counters=self.counters,
+            retries=RetryBudget(),
         )
         self.jobs = JobTable(
             ports=job_ports, objects=ports.objects, limits=limits, unix_ms=ports.unix_ms
--- a/persimmoncrank/coordination/_job_run.py
+++ b/persimmoncrank/coordination/_job_run.py
@@ -33,7 +33,7 @@
     complete_answer,
     failed_answer,
 )
-from persimmoncrank.state import AgentView, AgentViews, EntryCounters, ServiceTimes
+from persimmoncrank.state import AgentView, AgentViews, EntryCounters, RetryBudget, ServiceTimes
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
@@ -71,6 +71,7 @@
     place: Place
     call: Call
     counters: EntryCounters
+    retries: RetryBudget
 
 
 @dataclass(kw_only=True, slots=True)
@@ -103,6 +104,7 @@
         self._deadline_s = anyio.current_time() + spec.deadline_ms / 1000
         # Noted before the run starts, so that jobs admitted at the same instant spread.
         self._note_sent(placement)
+        ports.retries.earn(len(spec.tasks))
 
     async def run(self) -> JobAnswer:
         """Run the job to its end."""
@@ -240,15 +242,23 @@
             self._note_settled(view, index)
         pending.clear()
         self._may_have_started = True
-        if self._spec.is_idempotent:
-            for task in tasks:
+        lost = [task for task in tasks if not self._may_repeat(task)]
+        for task in tasks:
+            if task not in lost:
                 self._place_again(view, task)
+        if not lost:
             return
         self._fail(
             ErrorKind.OUTCOME_UNKNOWN,
-            f"task {tasks[0].spec.index} may have run: {cause}",
+            f"task {lost[0].spec.index} may have run: {cause}",
         )
 
+    def _may_repeat(self, task: BatchTask) -> bool:
+        """Tell whether a task that may have run may run again, and take that off the budget."""
+        if not self._spec.is_idempotent or task.attempt + 1 >= MAX_ATTEMPTS:
+            return False
+        return self._ports.retries.spend()
+
     def _take_outcomes(
         self,
         view: AgentView,
@@ -289,7 +299,7 @@
 
     def _take_failure(self, view: AgentView, task: BatchTask, outcome: TaskOutcome) -> None:
         self._note_failure(view)
-        if self._spec.is_idempotent and task.attempt + 1 < MAX_ATTEMPTS:
+        if self._may_repeat(task):
             self._place_again(view, task)
             return
         is_unknown = outcome.state == OutcomeState.UNKNOWN
--- a/persimmoncrank/state/__init__.py
+++ b/persimmoncrank/state/__init__.py
@@ -19,6 +19,7 @@
     missing_acknowledgements,
     next_elector_groups,
 )
+from persimmoncrank.state._retry_budget import RetryBudget
 from persimmoncrank.state._service_times import ServiceTimes
 from persimmoncrank.state._start_records import StartRecords, TaskKey, is_settled
 
@@ -31,6 +32,7 @@
     "Currency",
     "EntryCounters",
     "PeerVersion",
+    "RetryBudget",
     "ServiceTimes",
     "StartRecords",
     "TaskKey",
