--- a/persimmoncrank/bench/_policy.py
+++ b/persimmoncrank/bench/_policy.py
@@ -41,6 +41,8 @@
 STORE_DOWN_AFTER_S = 0.5
 """The store goes down this long after a withdrawal in the same run."""
 
+SAMPLE_INTERVAL_S = 0.05
+QUEUES_WATCHED_S = 3.0
 WARM_UP_JOBS = 5
 RATIO_SCALE = 1_000
 MOST_RATIO = 10_000_000
@@ -65,7 +67,10 @@
 class PolicyReport:
     """The measures of one policy run; response ratios are to the lower bound for each job.
 
-    Times in force and late starts are None without a withdrawal.
+    The fields about a withdrawal are None without one. ``in_force_s`` counts from the acceptance
+    until every live process held the version or was not current; ``return_queue_excess`` is the
+    most by which the returned agents' queues, in tasks for each slot, passed those of the others
+    in the first seconds after the return.
     """
 
     policy: str
@@ -80,7 +85,9 @@
     wasted_messages_ratio: float
     withdrawal_work_ratio: float | None
     acceptance_s: float | None
+    in_force_s: float | None
     last_start_after_acceptance_s: float | None
+    return_queue_excess: float | None
     duplicate_starts: int
     late_starts: int
     partial_answers: int
@@ -97,6 +104,8 @@
     asked_at_s: float = 0.0
     accepted_at_s: float = 0.0
     returned_at_s: float = 0.0
+    in_force_s: float | None = None
+    queue_excess: float = 0.0
 
 
 @dataclass(kw_only=True)
@@ -235,10 +244,46 @@
     if withdrawn.is_err():
         return
     noted.accepted_at_s = anyio.current_time()
-    await anyio.sleep(run.settings.seconds / 3)
+    version = withdrawn.unwrap().version
+    async with anyio.create_task_group() as group:
+        group.start_soon(_watch_in_force, run, version)
+        await anyio.sleep(run.settings.seconds / 3)
+        group.cancel_scope.cancel()
     run.world.note_returned(noted.domain)
     noted.returned_at_s = anyio.current_time()
     await run.world.operate("e2", Intent(kind=IntentKind.RETURN_DOMAIN, target=noted.domain))
+    await _watch_queues(run)
+
+
+async def _watch_in_force(run: _Run, version: int) -> None:
+    """Note when every live process holds a version or is not current."""
+    while not _is_in_force(run.world, version):
+        await anyio.sleep(SAMPLE_INTERVAL_S)
+    run.withdrawal.in_force_s = anyio.current_time() - run.withdrawal.accepted_at_s
+
+
+def _is_in_force(world: World, version: int) -> bool:
+    entries = [e.node.keeper for e in world.entries.values() if e.process.is_alive]
+    agents = [a.node.membership for a in world.agents.values() if a.process.is_alive]
+    return all(
+        keeper.snapshot.version >= version or not keeper.is_current() for keeper in entries
+    ) and all(agent.config.version >= version or not agent.is_current() for agent in agents)
+
+
+async def _watch_queues(run: _Run) -> None:
+    """Note how far the returned agents' queues pass those of the others."""
+    noted = run.withdrawal
+    for _ in range(int(QUEUES_WATCHED_S / SAMPLE_INTERVAL_S)):
+        await anyio.sleep(SAMPLE_INTERVAL_S)
+        returned = _queue_per_slot(run.world, noted.domain, is_inside=True)
+        others = _queue_per_slot(run.world, noted.domain, is_inside=False)
+        noted.queue_excess = max(noted.queue_excess, returned - others)
+
+
+def _queue_per_slot(world: World, domain: str, *, is_inside: bool) -> float:
+    """Return the tasks that wait for each slot, inside a domain or outside of it."""
+    nodes = [a.node for a in world.agents.values() if (a.node.info.domain == domain) is is_inside]
+    return sum(node.runner.load.queued for node in nodes) / sum(n.info.slots for n in nodes)
 
 
 def _report(run: _Run) -> PolicyReport:
@@ -264,7 +309,9 @@
         wasted_messages_ratio=max(0, calls - useful) / max(1, calls),
         withdrawal_work_ratio=_withdrawal_work_ratio(run),
         acceptance_s=noted.accepted_at_s - noted.asked_at_s if noted.accepted_at_s else None,
+        in_force_s=noted.in_force_s,
         last_start_after_acceptance_s=last_s,
+        return_queue_excess=noted.queue_excess if noted.returned_at_s else None,
         duplicate_starts=_duplicate_starts(history),
         late_starts=late,
         partial_answers=sum(_is_partial(answered) for answered in history.answers),
--- a/persimmoncrank/tests/test_entry_http.py
+++ b/persimmoncrank/tests/test_entry_http.py
@@ -8,7 +8,9 @@
 import anyio
 import httpcore
 import msgspec
+from anyio import to_thread
 
+from persimmoncrank.commands import plan
 from persimmoncrank.protocol import ANSWERS, ErrorKind
 from persimmoncrank.standin import free_addresses
 from persimmoncrank.tests.base import CUSTOMER, KIND, World, settle
@@ -28,7 +30,7 @@
     def __init__(self, *, pool: httpcore.AsyncConnectionPool, url: str) -> None:
         """Create a client."""
         self._pool = pool
-        self._url = url
+        self.url = url
 
     async def call(
         self, method: str, path: str, content: bytes = b"", key: str | None = None
@@ -36,7 +38,7 @@
         """Send a request and return status and decoded body."""
         headers = [] if key is None else [("Idempotency-Key", key)]
         response = await self._pool.request(
-            method, f"{self._url}{path}", headers=headers, content=content
+            method, f"{self.url}{path}", headers=headers, content=content
         )
         text = response.content
         is_json = dict(response.headers).get(b"content-type") == b"application/json"
@@ -149,6 +151,27 @@
     run_with_api(test)
 
 
+def test_operator_who_lost_a_race_is_shown_a_fresh_plan() -> None:
+    async def test(api: Api) -> None:
+        settings = plan.PlanSettings(entry_url=api.url)
+        ids = []
+        for target in ("monza", "seregno"):
+            intent = msgspec.json.encode({"kind": "withdraw-domain", "target": target})
+            _, report = await api.call("POST", "/v1/plans", intent)
+            ids.append(report["plan"]["plan_id"])
+        won = await to_thread.run_sync(plan.confirm, settings, ids[0])
+        assert "accepted" in won.unwrap()
+        lost = (await to_thread.run_sync(plan.confirm, settings, ids[1])).unwrap_err()
+        assert lost.startswith(f"plan {ids[1]} is rejected")
+        assert "a fresh plan:" in lost
+        assert "withdraw failure domain seregno" in lost
+        fresh = lost.rsplit(" ", 1)[1]
+        confirmed = await to_thread.run_sync(plan.confirm, settings, fresh)
+        assert "accepted" in confirmed.unwrap()
+
+    run_with_api(test)
+
+
 def test_health_and_metrics() -> None:
     async def test(api: Api) -> None:
         assert await api.call("GET", "/healthz") == (200, "ok\n")
--- a/persimmoncrank/tests/test_entry_node.py
+++ b/persimmoncrank/tests/test_entry_node.py
@@ -172,3 +172,26 @@
             group.cancel_scope.cancel()
 
     run_virtual(main)
+
+
+def test_retired_backend_server_finishes_and_gets_no_new_work() -> None:
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            world = await start_world(group, seed=10)
+            retired = world.agents["a0"].node.info
+            spec = make_job(
+                await world.issue_id("e0"), tasks=150, run_time_ms=900, deadline_ms=50_000
+            )
+            group.start_soon(world.submit, "e0", spec)
+            await anyio.sleep(0.4)
+            await world.retire("e1", retired.backend)
+            await anyio.sleep(20.0)
+            assert [answered.is_complete for answered in world.history.answers] == [True]
+            check_all(world.history)
+            starts = len([s for s in world.history.starts if s.agent == retired.incarnation])
+            await world.submit("e2", make_job(await world.issue_id("e2"), tasks=40))
+            after = len([s for s in world.history.starts if s.agent == retired.incarnation])
+            assert after == starts > 0
+            group.cancel_scope.cancel()
+
+    run_virtual(main)
