Let agents fall back to their seeds when every entry they know is lost

Cause: an agent kept asking the entries of its last configuration, and none of them lived any more; after a change of all entries at new addresses it never came back. The test fails without the change. A leaving agent offers its records to every entry.

--- a/persimmoncrank/coordination/_agent_membership.py
+++ b/persimmoncrank/coordination/_agent_membership.py
@@ -57,7 +57,7 @@
         self._status = AgentStatus.LIVE
         self._known_at: set[str] = set()
         self._avoided_until_s: dict[str, float] = {}
-        self._next_seed = 0
+        self._next_other = 0
 
     @property
     def config(self) -> AgentConfig:
@@ -95,10 +95,13 @@
     def homes(self) -> list[str]:
         """Return the addresses of this agent's home entries that are not avoided now."""
         now_s = anyio.current_time()
+        usable = [a for a in self.entries() if self._avoided_until_s.get(a, 0.0) <= now_s]
+        return usable[:HOME_COUNT]
+
+    def entries(self) -> list[str]:
+        """Return the addresses of all registered entries, in this agent's order of preference."""
         ranked = rank_homes(self._info.incarnation, self._config.entries)
-        addresses = [entry.rpc_address for entry in ranked]
-        usable = [a for a in addresses if self._avoided_until_s.get(a, 0.0) <= now_s]
-        return (usable or addresses)[:HOME_COUNT]
+        return [entry.rpc_address for entry in ranked]
 
     async def run(self) -> None:
         """Send heartbeats until cancelled; the loops are staggered over the interval."""
@@ -122,13 +125,18 @@
             await anyio.sleep(HEARTBEAT_INTERVAL_S if is_settled else RETRY_INTERVAL_S)
 
     def _address(self, rank: int) -> str | None:
+        """Return the home of a rank; without any, the seeds and entries in turn.
+
+        The seeds matter again when all entries known here were replaced meanwhile.
+        """
         homes = self.homes()
         if rank < len(homes):
             return homes[rank]
-        if homes or not self._seeds:
+        others = (*self._seeds, *self.entries())
+        if homes or not others:
             return None
-        self._next_seed += 1
-        return self._seeds[self._next_seed % len(self._seeds)]
+        self._next_other += 1
+        return others[self._next_other % len(others)]
 
     async def _exchange(self, address: str) -> bool:
         """Send one heartbeat; return whether it was answered."""
--- a/persimmoncrank/coordination/_agent_node.py
+++ b/persimmoncrank/coordination/_agent_node.py
@@ -119,6 +119,6 @@
         await hand_over(
             agent=self.info.incarnation,
             records=self.records,
-            addresses=self.membership.homes(),
+            addresses=self.membership.entries(),
             call=self._call,
         )
--- a/persimmoncrank/tests/test_config_keeper.py
+++ b/persimmoncrank/tests/test_config_keeper.py
@@ -5,7 +5,7 @@
 import anyio
 
 from persimmoncrank.protocol import ErrorKind
-from persimmoncrank.tests.base import make_job, run_virtual, start_world
+from persimmoncrank.tests.base import make_job, run_virtual, settle, start_world
 from persimmoncrank.tests.invariants import check_all
 
 HOUR_S = 3_600.0
@@ -54,3 +54,21 @@
             group.cancel_scope.cancel()
 
     run_virtual(main, seed=52)
+
+
+def test_agents_find_new_entries_after_all_known_ones_are_lost() -> None:
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            world = await start_world(group, seed=53, entries=4)
+            world.entries["e3"].node.stop()
+            await anyio.sleep(6.0)
+            for name in ("e0", "e1", "e2"):
+                world.entries.pop(name).process.kill()
+            world.start_entry("e3", "monza")
+            await settle(world)
+            spec = make_job(await world.issue_id("e3"), tasks=6)
+            assert (await world.submit("e3", spec)).is_complete
+            check_all(world.history)
+            group.cancel_scope.cancel()
+
+    run_virtual(main, seed=53)
