--- a/persimmoncrank/bench/_live.py
+++ b/persimmoncrank/bench/_live.py
@@ -29,7 +29,6 @@
 BACKENDS_PER_PROCESS = 50
 LIGHT_AGENTS_PER_PROCESS = 160
 MAX_CALLERS = 64
-MAX_RATIO_X1000 = 1_000_000
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/persimmoncrank/commands/demo.py
+++ b/persimmoncrank/commands/demo.py
@@ -16,7 +16,7 @@
 from persimmoncrank.commands._api import ApiFailure, call_api
 from persimmoncrank.commands._logs import set_up_logs
 from persimmoncrank.commands._roles import serve_agent, serve_entry
-from persimmoncrank.commands.submit import describe_answer
+from persimmoncrank.commands.submit import describe_answer, submit_job
 from persimmoncrank.settings import AgentSettings, EntrySettings, LogFormat, LogLevel
 from persimmoncrank.standin import (
     WORK,
@@ -179,11 +179,7 @@
 
 
 async def _submit(entry: EntrySettings, name: str, job: Any) -> Result[Any, ApiFailure]:
-    issued = await _call(entry, "POST", "/v1/submission-ids", {"count": 1})
-    if issued.is_err():
-        return issued
-    named = {**job, "submission_id": issued.unwrap()["submission_ids"][0]}
-    answer = await _call(entry, "POST", "/v1/jobs", named)
+    answer = await to_thread.run_sync(submit_job, f"http://{entry.http_address}", job)
     if answer.is_ok():
         print(f"\n{name} through {entry.name}:")
         print("\n".join(describe_answer(answer.unwrap())))
--- a/persimmoncrank/commands/submit.py
+++ b/persimmoncrank/commands/submit.py
@@ -31,18 +31,19 @@
         job = msgspec.json.decode(settings.job_file.read_bytes())
     except (OSError, msgspec.DecodeError) as error:
         return Err(f"{settings.job_file}: {error}")
-    return present(_submit_job(settings, job), describe_answer, is_json=settings.is_json)
+    answer = submit_job(settings.entry_url, job, settings.key)
+    return present(answer, describe_answer, is_json=settings.is_json)
 
 
-def _submit_job(settings: SubmitSettings, job: Any) -> Result[Any, ApiFailure]:
-    if settings.key is not None:
-        headers = {"Idempotency-Key": settings.key}
-        return call_api(settings.entry_url, "POST", "/v1/jobs", job, headers)
-    issued = call_api(settings.entry_url, "POST", "/v1/submission-ids", {"count": 1})
+def submit_job(entry_url: str, job: Any, key: str | None = None) -> Result[Any, ApiFailure]:
+    """Submit a job under an idempotency key, or else under an id taken for it, and wait."""
+    if key is not None:
+        return call_api(entry_url, "POST", "/v1/jobs", job, {"Idempotency-Key": key})
+    issued = call_api(entry_url, "POST", "/v1/submission-ids", {"count": 1})
     if issued.is_err():
         return issued
     named = {**job, "submission_id": issued.unwrap()["submission_ids"][0]}
-    return call_api(settings.entry_url, "POST", "/v1/jobs", named)
+    return call_api(entry_url, "POST", "/v1/jobs", named)
 
 
 def describe_answer(body: Any) -> list[str]:
--- a/persimmoncrank/coordination/_job_run.py
+++ b/persimmoncrank/coordination/_job_run.py
@@ -242,16 +242,12 @@
             self._note_settled(view, index)
         pending.clear()
         self._may_have_started = True
-        lost = [task for task in tasks if not self._may_repeat(task)]
         for task in tasks:
-            if task not in lost:
+            if self._may_repeat(task):
                 self._place_again(view, task)
-        if not lost:
-            return
-        self._fail(
-            ErrorKind.OUTCOME_UNKNOWN,
-            f"task {lost[0].spec.index} may have run: {cause}",
-        )
+            else:
+                message = f"task {task.spec.index} may have run: {cause}"
+                self._fail(ErrorKind.OUTCOME_UNKNOWN, message)
 
     def _may_repeat(self, task: BatchTask) -> bool:
         """Tell whether a task that may have run may run again, and take that off the budget."""
@@ -360,19 +356,16 @@
         )
         return failed_answer(self._spec.submission_id, proved)
 
-    def _cancel_message(self, sents: list[_Sent]) -> CancelBatch:
-        return CancelBatch(
-            agent=sents[0].agent.info.incarnation,
+    async def _cancel_at(self, sents: list[_Sent]) -> None:
+        view = sents[0].agent
+        message = CancelBatch(
+            agent=view.info.incarnation,
             submission_id=self._spec.submission_id,
             task_count=len(self._spec.tasks),
             tasks=tuple(
                 TaskAttempt(index=sent.task.spec.index, attempt=sent.task.attempt) for sent in sents
             ),
         )
-
-    async def _cancel_at(self, sents: list[_Sent]) -> None:
-        view = sents[0].agent
-        message = self._cancel_message(sents)
         answer = await self._ports.call(
             view.info.rpc_address, message, BatchReply, CANCEL_TIMEOUT_S
         )
--- a/persimmoncrank/coordination/_job_table.py
+++ b/persimmoncrank/coordination/_job_table.py
@@ -112,11 +112,6 @@
         """The number of jobs that run now."""
         return self._running
 
-    @property
-    def held_count(self) -> int:
-        """The number of jobs held, with those that have ended."""
-        return len(self._jobs)
-
     async def run(self) -> None:
         """Run the admitted jobs until cancelled."""
         async with anyio.create_task_group() as group:
--- a/persimmoncrank/standin/_platform.py
+++ b/persimmoncrank/standin/_platform.py
@@ -37,8 +37,6 @@
     def __init__(self) -> None:
         """Create an empty platform without faults."""
         self.faults = PlatformFaults()
-        self.reads = 0
-        self.writes = 0
         self._rows: dict[str, Row] = {}
         self._objects: dict[str, bytes] = {}
         self._version = 0
@@ -67,14 +65,12 @@
         """Read one row."""
         if not await self._meet_faults():
             return _unavailable()
-        self.reads += 1
         return Ok(self._rows.get(key))
 
     async def scan(self, prefix: str, since_version: int) -> Result[Rows, StoreError]:
         """Read the rows under a prefix that were written after a version."""
         if not await self._meet_faults():
             return _unavailable()
-        self.reads += 1
         found = [
             row
             for key, row in self._rows.items()
@@ -99,7 +95,6 @@
 
     def _apply(self, transaction: Transaction) -> None:
         self._version += 1
-        self.writes += 1
         for write in transaction.writes:
             if write.value is None:
                 self._rows.pop(write.key, None)
@@ -111,7 +106,6 @@
         """Store an object."""
         if not await self._meet_faults():
             return _unavailable()
-        self.writes += 1
         self._objects[key] = content
         return _unavailable() if self._is_answer_lost() else Ok(None)
 
@@ -119,7 +113,6 @@
         """Read an object."""
         if not await self._meet_faults():
             return _unavailable()
-        self.reads += 1
         return Ok(self._objects.get(key))
 
 
