Dispatch jobs to workers on the users' platform: a first thin path

Entries admit jobs under the caller's own id, place their tasks on workers by room and learned speed, and answer when they have ended. An agent beside each worker guards its room and its lease.

--- a/persimmoncrank/commands/_logs.py
+++ b/persimmoncrank/commands/_logs.py
@@ -51,9 +51,11 @@
     return " ".join(sentence), fields
 
 
-def set_up_logs(log_format: LogFormat, level: LogLevel) -> None:
-    """Send the package's log lines to standard error."""
-    handler = logging.StreamHandler(sys.stderr)
+def set_up_logs(
+    log_format: LogFormat, level: LogLevel, *, handler: logging.Handler | None = None
+) -> None:
+    """Send the package's log lines to a handler; without one, to standard error."""
+    handler = handler or logging.StreamHandler(sys.stderr)
     formatter = JsonFormatter() if log_format == "json" else logging.Formatter(PLAIN_FORMAT)
     handler.setFormatter(formatter)
     package_log = logging.getLogger(PACKAGE)
--- /dev/null
+++ b/persimmoncrank/commands/dispatch.py
@@ -0,0 +1,267 @@
+"""Wiring of the two roles that dispatch to workers; the ports come from an adapter."""
+
+from __future__ import annotations
+
+import logging
+import os
+import random
+import signal
+import sys
+import time
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import anyio
+
+from persimmoncrank.commands._log_output import BufferedLogHandler
+from persimmoncrank.commands._logs import set_up_logs
+from persimmoncrank.coordination.configuration import TableFollower
+from persimmoncrank.coordination.dispatch import (
+    Dispatcher,
+    DispatchTimes,
+    follow_directory,
+    register_entry,
+)
+from persimmoncrank.coordination.execution import AgentPorts, LeaseTimes, WorkerAgent
+from persimmoncrank.protocol import (
+    AgentFrame,
+    AgentHello,
+    EntryAddress,
+    EntryFrame,
+    QueueTable,
+    TableFeed,
+    TableService,
+    WorkerHeartbeat,
+    WorkerPort,
+    make_incarnation,
+)
+from persimmoncrank.transport import serve_http, serve_streams, stream_dialer
+
+if TYPE_CHECKING:
+    from persimmoncrank.settings import DispatchAgentSettings, DispatchEntrySettings
+
+log = logging.getLogger(__name__)
+
+LEASE_SHARE = 0.45  # two leases after each other end before a caller sends its job again
+MAX_LEASE_S = 0.6
+NOTICE_S = 2.2  # a balancer notices after two misses, one a second
+GRACE_MARGIN_S = 0.5
+POLL_INTERVAL_S = 0.05
+SETTINGS_INTERVAL_S = 1.0
+INCARNATION_BITS = 32
+STDOUT = 1
+
+App = Callable[..., Awaitable[None]]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StorePorts:
+    """The ports to the platform's store, and the reader of the operator's table."""
+
+    table: TableService
+    feed: TableFeed
+    operator_table: str
+    read_operator: Callable[[Mapping[str, bytes]], tuple[QueueTable | None, tuple[str, ...]]]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EntryApps:
+    """The HTTP applications of an entry."""
+
+    front: Callable[[Dispatcher], Any]
+    ready: Callable[[Dispatcher], Any]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WorkerPorts:
+    """The ports between an agent and its worker."""
+
+    app: Callable[[WorkerAgent], Any]
+    port: Callable[[WorkerHeartbeat], WorkerPort]
+
+
+ReadSeeds = Callable[[], tuple[str, ...]]
+
+
+def _lease_s(resend_s: float, worker_lease_limit_s: float) -> float:
+    return min(MAX_LEASE_S, LEASE_SHARE * resend_s, worker_lease_limit_s)
+
+
+def _incarnation(name: str) -> str:
+    return make_incarnation(name=name, nonce=random.SystemRandom().getrandbits(INCARNATION_BITS))
+
+
+def _boot_time_s() -> float:
+    """Return the time since boot, which also counts while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def run_dispatch_entry(
+    settings: DispatchEntrySettings, store: StorePorts, apps: EntryApps, read_seeds: ReadSeeds
+) -> None:
+    """Run an entry until SIGTERM."""
+
+    async def serve(stop: anyio.Event) -> None:
+        await _serve_entry(settings, store, apps, read_seeds, stop)
+
+    _run(serve, settings)
+
+
+async def _serve_entry(
+    settings: DispatchEntrySettings,
+    store: StorePorts,
+    apps: EntryApps,
+    read_seeds: ReadSeeds,
+    stop: anyio.Event,
+) -> None:
+    lease_s = _lease_s(settings.resend_s, settings.worker_lease_limit_s)
+    entry = EntryAddress(incarnation=_incarnation(settings.name), address=settings.stream_address)
+    dispatcher = Dispatcher(
+        entry=entry, times=DispatchTimes(entry_lease_s=lease_s, worker_lease_s=lease_s)
+    )
+    follower = TableFollower(
+        table=store.operator_table,
+        feed=store.feed,
+        on_change=_config_setter(dispatcher, store),
+    )
+
+    def set_entries(entries: tuple[EntryAddress, ...]) -> None:
+        dispatcher.set_entries((*entries, entry))
+
+    async def register() -> None:
+        await register_entry(table=store.table, name=settings.name, entry=entry)
+
+    async def follow() -> None:
+        await follow_directory(table=store.table, on_entries=set_entries)
+
+    set_entries(())
+    async with (
+        serve_streams(
+            address=settings.stream_address,
+            message_type=AgentFrame,
+            serve=dispatcher.serve_agent,
+        ),
+        serve_http(apps.front(dispatcher), settings.front_address),
+        serve_http(apps.ready(dispatcher), settings.ready_address),
+        anyio.create_task_group() as group,
+    ):
+        log.info("entry: serving entry=%s lease_ms=%d", entry.incarnation, lease_s * 1000)
+        for task in (dispatcher.run, follower.run, register, follow):
+            group.start_soon(task)
+        await stop.wait()
+        await _leave(dispatcher, settings.grace_s)
+        group.cancel_scope.cancel()
+    log.info("entry: stopped entry=%s", entry.incarnation)
+
+
+def _config_setter(
+    dispatcher: Dispatcher, store: StorePorts
+) -> Callable[[Mapping[str, bytes], int], None]:
+    def set_config(rows: Mapping[str, bytes], version: int) -> None:
+        queues, withdrawn = store.read_operator(rows)
+        if queues is not None:
+            dispatcher.set_config(queues, withdrawn, version)
+
+    return set_config
+
+
+async def _leave(dispatcher: Dispatcher, grace_s: float) -> None:
+    """Let the balancer notice, then take no more jobs and wait for those that run."""
+    log.info("entry: leaving entry=%s jobs=%d", dispatcher.entry.incarnation, len(dispatcher.jobs))
+    dispatcher.is_leaving = True
+    started_at_s = anyio.current_time()
+    await anyio.sleep(min(NOTICE_S, grace_s / 2))
+    dispatcher.is_closed = True
+    while dispatcher.jobs and anyio.current_time() - started_at_s < grace_s - GRACE_MARGIN_S:
+        await anyio.sleep(POLL_INTERVAL_S)
+
+
+def run_dispatch_agent(
+    settings: DispatchAgentSettings, worker: WorkerPorts, read_seeds: ReadSeeds
+) -> None:
+    """Run an agent until SIGTERM."""
+
+    async def serve(stop: anyio.Event) -> None:
+        await _serve_agent(settings, worker, read_seeds, stop)
+
+    _run(serve, settings)
+
+
+async def _serve_agent(
+    settings: DispatchAgentSettings, worker: WorkerPorts, read_seeds: ReadSeeds, stop: anyio.Event
+) -> None:
+    lease_s = _lease_s(settings.resend_s, settings.worker_lease_limit_s)
+    incarnation = _incarnation(settings.name)
+    agent = WorkerAgent(
+        hello=AgentHello(agent=settings.name, incarnation=incarnation, domain=settings.domain),
+        ports=AgentPorts(
+            dial=stream_dialer(EntryFrame),
+            worker_port=worker.port,
+            lease_clock=_boot_time_s,
+            first_fence=time.time_ns() // 1_000_000,
+        ),
+        times=LeaseTimes(entry_lease_s=lease_s, worker_lease_s=lease_s),
+    )
+
+    async def follow_seeds() -> None:
+        while True:
+            agent.set_seeds(read_seeds())
+            await anyio.sleep(SETTINGS_INTERVAL_S)
+
+    async with (
+        serve_http(worker.app(agent), settings.control_address),
+        anyio.create_task_group() as group,
+    ):
+        log.info("agent: serving agent=%s lease_ms=%d", incarnation, lease_s * 1000)
+        group.start_soon(follow_seeds)
+        group.start_soon(_stop_agent, agent, stop)
+        with anyio.move_on_after(None) as scope:
+            group.start_soon(_bound_stop, stop, settings.grace_s, scope)
+            await agent.run()
+        group.cancel_scope.cancel()
+    log.info("agent: stopped agent=%s", incarnation)
+
+
+async def _stop_agent(agent: WorkerAgent, stop: anyio.Event) -> None:
+    await stop.wait()
+    agent.stop()
+
+
+async def _bound_stop(stop: anyio.Event, grace_s: float, scope: anyio.CancelScope) -> None:
+    await stop.wait()
+    await anyio.sleep(grace_s - GRACE_MARGIN_S)
+    scope.cancel()
+
+
+def _run(
+    serve: Callable[[anyio.Event], Awaitable[None]],
+    settings: DispatchEntrySettings | DispatchAgentSettings,
+) -> None:
+    handler = BufferedLogHandler(descriptor=STDOUT)
+    set_up_logs(settings.log_format, settings.log_level, handler=handler)
+
+    async def main() -> None:
+        stop = anyio.Event()
+        async with anyio.create_task_group() as group:
+            group.start_soon(handler.run)
+            group.start_soon(_watch_signals, stop)
+            await serve(stop)
+            group.cancel_scope.cancel()
+        handler.flush()
+
+    try:
+        anyio.run(main)
+    finally:
+        handler.flush()
+        sys.stdout.flush()
+    # gRPC's threads may still hold connections of peers that do not answer.
+    os._exit(0)
+
+
+async def _watch_signals(stop: anyio.Event) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        async for signum in signals:
+            log.info("process: signal received signal=%s", signal.Signals(signum).name)
+            if signum != signal.SIGHUP:
+                stop.set()
--- /dev/null
+++ b/persimmoncrank/coordination/dispatch/__init__.py
@@ -0,0 +1,8 @@
+"""The entry's part: it admits jobs for workers, places their tasks and answers once."""
+
+from __future__ import annotations
+
+from persimmoncrank.coordination.dispatch._directory import follow_directory, register_entry
+from persimmoncrank.coordination.dispatch._dispatcher import Dispatcher, DispatchTimes
+
+__all__ = ["DispatchTimes", "Dispatcher", "follow_directory", "register_entry"]
--- /dev/null
+++ b/persimmoncrank/coordination/execution/_entry_links.py
@@ -0,0 +1,210 @@
+"""The streams of an agent to all entries, and the leases that they renew."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import anyio
+
+from persimmoncrank.coordination.execution._entry_session import EntrySession
+from persimmoncrank.protocol import (
+    AgentFrame,
+    AgentHello,
+    EntryFrame,
+    MessageStream,
+    StreamClosedError,
+    WorkerReport,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from anyio.abc import TaskGroup
+
+    from persimmoncrank.protocol import DialStream
+
+log = logging.getLogger(__name__)
+
+BEAT_INTERVAL_S = 0.15
+MIN_FRAME_INTERVAL_S = 0.005
+FIRST_FRAME_TIMEOUT_S = 0.5
+DIAL_TIMEOUT_S = 0.5
+REDIAL_INTERVAL_S = 0.2
+FORGET_ADDRESS_AFTER_S = 20.0
+MIN_WATCH_INTERVAL_S = 0.001
+
+
+class EntryLinks:
+    """Keeps one stream to each known entry."""
+
+    def __init__(
+        self,
+        *,
+        agent: AgentHello,
+        dial: DialStream,
+        lease_s: float,
+        lease_clock: Callable[[], float],
+        report: Callable[[EntrySession], WorkerReport | None],
+        held_orders: Callable[[str], tuple[int, ...]],
+        on_frame: Callable[[EntrySession, EntryFrame], None],
+        on_lease_lost: Callable[[EntrySession, str], None],
+    ) -> None:
+        """Create links; the callables read the agent's state and act on frames."""
+        self.sessions: dict[str, EntrySession] = {}
+        self._agent = agent
+        self._dial = dial
+        self._lease_s = lease_s
+        self._lease_clock = lease_clock
+        self._report = report
+        self._held_orders = held_orders
+        self._on_frame = on_frame
+        self._on_lease_lost = on_lease_lost
+        self._seeds: set[str] = set()
+        self._heard_at_s: dict[str, float] = {}
+        self._group: TaskGroup | None = None
+
+    async def run(self) -> None:
+        """Keep the streams until cancelled."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            for address in tuple(self._heard_at_s):
+                group.start_soon(self._keep, address)
+            await self._watch_leases()
+
+    def set_seeds(self, seeds: Iterable[str]) -> None:
+        """Keep dialling these addresses, whether they answer or not."""
+        self._seeds = set(seeds)
+        for address in self._seeds:
+            self.add_address(address)
+
+    def add_address(self, address: str) -> None:
+        """Dial an entry's address until it has been silent for long."""
+        if address in self._heard_at_s:
+            return
+        self._heard_at_s[address] = anyio.current_time()
+        if self._group is not None:
+            self._group.start_soon(self._keep, address)
+
+    def has_lease(self, incarnation: str) -> bool:
+        """Tell whether runs of an entry may start now."""
+        session = self.sessions.get(incarnation)
+        return session is not None and session.has_lease(now_s=self._lease_clock())
+
+    def announce(self) -> None:
+        """Let every stream send what has changed."""
+        for session in self.sessions.values():
+            session.is_news.set()
+
+    async def _keep(self, address: str) -> None:
+        while self._is_wanted(address):
+            try:
+                await self._connect(address)
+            except (StreamClosedError, TimeoutError) as error:
+                log.debug("agent: no stream to entry address=%s cause=%s", address, error)
+            await anyio.sleep(REDIAL_INTERVAL_S)
+        del self._heard_at_s[address]
+        log.info("agent: entry address forgotten address=%s", address)
+
+    def _is_wanted(self, address: str) -> bool:
+        silent_s = anyio.current_time() - self._heard_at_s[address]
+        return address in self._seeds or silent_s < FORGET_ADDRESS_AFTER_S
+
+    async def _connect(self, address: str) -> None:
+        async with self._dial(address) as stream:
+            with anyio.fail_after(FIRST_FRAME_TIMEOUT_S):
+                frame = await stream.receive()
+            session = self._open_session(frame.entry, address)
+            log.info("agent: stream to entry open entry=%s address=%s", frame.entry, address)
+            held = (*self._held_orders(frame.entry), *session.unseen_order_ids())
+            hello = AgentHello(
+                agent=self._agent.agent,
+                incarnation=self._agent.incarnation,
+                domain=self._agent.domain,
+                held=held,
+                orders_seen=session.orders_seen,
+            )
+            await stream.send(AgentFrame(hello=hello))
+            self._note(session, address, frame)
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._send_frames, session, stream)
+                await self._receive_frames(session, address, stream)
+                group.cancel_scope.cancel()
+        log.info("agent: stream to entry closed entry=%s", session.incarnation)
+
+    def _open_session(self, incarnation: str, address: str) -> EntrySession:
+        """Return the entry's session; another incarnation at its address is gone."""
+        for old in [s for s in self.sessions.values() if s.address == address]:
+            if old.incarnation != incarnation:
+                self._close_session(old, "the entry started again")
+        session = self.sessions.get(incarnation)
+        if session is None:
+            session = EntrySession(incarnation=incarnation, address=address, lease_s=self._lease_s)
+            self.sessions[incarnation] = session
+        session.reset_stream()
+        return session
+
+    async def _receive_frames(
+        self, session: EntrySession, address: str, stream: MessageStream
+    ) -> None:
+        """Read frames until the stream closes or is silent for a whole lease."""
+        while True:
+            try:
+                with anyio.fail_after(self._lease_s):
+                    frame = await stream.receive()
+            except (StreamClosedError, TimeoutError) as error:
+                cause = str(error) or "silent"
+                log.warning(
+                    "agent: stream to entry lost entry=%s cause=%s", session.incarnation, cause
+                )
+                return
+            self._note(session, address, frame)
+
+    def _note(self, session: EntrySession, address: str, frame: EntryFrame) -> None:
+        self._heard_at_s[address] = anyio.current_time()
+        session.note_frame(frame)
+        for entry in frame.entries:
+            self.add_address(entry.address)
+        self._on_frame(session, frame)
+
+    async def _send_frames(self, session: EntrySession, stream: MessageStream) -> None:
+        beat_at_s = 0.0
+        while True:
+            now_s = anyio.current_time()
+            is_beat = now_s >= beat_at_s
+            if is_beat:
+                beat_at_s = now_s + BEAT_INTERVAL_S
+            session.is_news = anyio.Event()
+            frame = session.next_frame(
+                self._report(session), now_s=self._lease_clock(), is_beat=is_beat
+            )
+            if frame is not None:
+                try:
+                    await stream.send(frame)
+                except StreamClosedError as error:
+                    log.debug("agent: frame not sent cause=%s", error)
+                    return
+            await anyio.sleep(MIN_FRAME_INTERVAL_S)
+            with anyio.move_on_after(max(beat_at_s - anyio.current_time(), 0)):
+                await session.is_news.wait()
+
+    async def _watch_leases(self) -> None:
+        """Give up the runs of entries whose lease ran out."""
+        while True:
+            now_s = self._lease_clock()
+            ends = [s.lease_until_s for s in self.sessions.values() if s.lease_until_s]
+            next_s = min(ends, default=now_s + BEAT_INTERVAL_S)
+            await anyio.sleep(min(max(next_s - now_s, MIN_WATCH_INTERVAL_S), BEAT_INTERVAL_S))
+            now_s = self._lease_clock()
+            for session in self.sessions.values():
+                if session.lease_until_s and session.lease_until_s <= now_s:
+                    session.lease_until_s = 0.0
+                    self._lose_lease(session, "its lease ran out")
+
+    def _close_session(self, session: EntrySession, cause: str) -> None:
+        del self.sessions[session.incarnation]
+        self._lose_lease(session, cause)
+
+    def _lose_lease(self, session: EntrySession, cause: str) -> None:
+        log.warning("agent: entry lost entry=%s cause=%s", session.incarnation, cause)
+        self._on_lease_lost(session, cause)
--- /dev/null
+++ b/persimmoncrank/coordination/execution/_worker_agent.py
@@ -0,0 +1,285 @@
+"""The agent beside one worker: it takes orders of entries and reports to them."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import anyio
+
+from persimmoncrank.coordination.execution._entry_links import EntryLinks
+from persimmoncrank.coordination.execution._worker_runner import RunnerEvents, WorkerRunner
+from persimmoncrank.protocol import (
+    AgentHello,
+    DialStream,
+    EntryFrame,
+    OrderOutcome,
+    WorkerHeartbeat,
+    WorkerPort,
+    WorkerReport,
+)
+from persimmoncrank.state import Run, RunLedger
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from persimmoncrank.coordination.execution._entry_session import EntrySession
+
+log = logging.getLogger(__name__)
+
+DRAIN_POLL_INTERVAL_S = 0.02
+REPORTED_SLOWNESS_DIGITS = 2
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AgentPorts:
+    """What an agent needs of its surroundings.
+
+    ``lease_clock`` is a clock in seconds that also counts time during which the machine was
+    suspended. ``first_fence`` is higher than that of earlier processes, or nearly so.
+    """
+
+    dial: DialStream
+    worker_port: Callable[[WorkerHeartbeat], WorkerPort]
+    lease_clock: Callable[[], float]
+    first_fence: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LeaseTimes:
+    """How long an entry's lease at an agent and an agent's lease at its worker last."""
+
+    entry_lease_s: float
+    worker_lease_s: float
+
+
+class WorkerAgent:
+    """Guards one worker for all entries."""
+
+    def __init__(self, *, hello: AgentHello, ports: AgentPorts, times: LeaseTimes) -> None:
+        """Create an agent that has not heard of its worker yet."""
+        self.hello = hello
+        self.runner: WorkerRunner | None = None
+        self.config_version = 0
+        self.withdrawn: frozenset[str] = frozenset()
+        self.links = EntryLinks(
+            agent=hello,
+            dial=ports.dial,
+            lease_s=times.entry_lease_s,
+            lease_clock=ports.lease_clock,
+            report=self._report,
+            held_orders=self._held_orders,
+            on_frame=self._on_frame,
+            on_lease_lost=self._on_lease_lost,
+        )
+        self._ports = ports
+        self._times = times
+        self._heartbeat: WorkerHeartbeat | None = None
+        self._worker_changed = anyio.Event()
+        self._is_leaving = False
+        self._stop = anyio.Event()
+
+    @property
+    def ledger(self) -> RunLedger | None:
+        """The runs of the worker that is there now."""
+        return self.runner.ledger if self.runner else None
+
+    @property
+    def heartbeat(self) -> WorkerHeartbeat | None:
+        """The newest heartbeat of the worker."""
+        return self._heartbeat
+
+    async def run(self) -> None:
+        """Serve until asked to stop and all runs have ended."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.links.run)
+            group.start_soon(self._serve_workers)
+            await self._stop.wait()
+            await self._wait_for_ends()
+            group.cancel_scope.cancel()
+
+    def stop(self) -> None:
+        """Take no more orders, and end once nothing runs."""
+        log.info("agent: draining agent=%s", self.hello.incarnation)
+        self._is_leaving = True
+        if self.runner is not None:
+            for run in list(self.runner.ledger.queued):
+                self.runner.stop(run, "the agent is leaving")
+        self.links.announce()
+        self._stop.set()
+
+    async def _wait_for_ends(self) -> None:
+        while self.runner is not None and self.runner.ledger.active:
+            await anyio.sleep(DRAIN_POLL_INTERVAL_S)
+
+    # The worker.
+
+    def note_heartbeat(self, heartbeat: WorkerHeartbeat) -> bool:
+        """Take note of the worker's state; return False for one that is out of date."""
+        known = self._heartbeat
+        if known is not None and _age(heartbeat) < _age(known):
+            log.info("agent: late heartbeat ignored worker=%s", heartbeat.worker)
+            return False
+        self._heartbeat = heartbeat
+        if known is None or (known.worker, known.life) != (heartbeat.worker, heartbeat.life):
+            log.info("agent: worker seen worker=%s life=%d", heartbeat.worker, heartbeat.life)
+            if self.runner is not None:
+                self.runner.end_life("another life of the worker reports")
+            self._worker_changed.set()
+        elif known.is_draining != heartbeat.is_draining:
+            log.info("agent: worker draining worker=%s", heartbeat.worker)
+            self._give_back_queue("the worker is draining")
+            self.links.announce()
+        return True
+
+    def note_leave(self, worker: str) -> None:
+        """Take note that the worker has ended as planned."""
+        if self._heartbeat is not None and self._heartbeat.worker == worker:
+            self._heartbeat = None
+            if self.runner is not None:
+                self.runner.end_life("the worker left")
+
+    async def _serve_workers(self) -> None:
+        """Serve one life of the worker after the other."""
+        while True:
+            await self._worker_changed.wait()
+            self._worker_changed = anyio.Event()
+            heartbeat = self._heartbeat
+            if heartbeat is None:
+                continue
+            self.runner = WorkerRunner(
+                worker=heartbeat,
+                port=self._ports.worker_port(heartbeat),
+                lease_s=self._times.worker_lease_s,
+                fence=self._ports.first_fence,
+                events=RunnerEvents(
+                    started=self._on_started,
+                    ended=self._on_ended,
+                    changed=self.links.announce,
+                    may_start=self._may_start,
+                ),
+            )
+            await self.runner.run()
+            self.runner = None
+            self.links.announce()
+
+    def _may_start(self, run: Run) -> bool:
+        """Check all that may have changed since the order came."""
+        return self._is_accepting() and self.links.has_lease(run.owner)
+
+    def _is_accepting(self) -> bool:
+        heartbeat = self._heartbeat
+        return (
+            heartbeat is not None
+            and not heartbeat.is_draining
+            and not self._is_leaving
+            and self.hello.domain not in self.withdrawn
+        )
+
+    def _give_back_queue(self, cause: str) -> None:
+        if self.runner is not None:
+            for run in list(self.runner.ledger.queued):
+                self.runner.stop(run, cause)
+
+    # The entries.
+
+    def set_seeds(self, seeds: Iterable[str]) -> None:
+        """Keep streams to the entries at these addresses."""
+        self.links.set_seeds(seeds)
+
+    def _on_frame(self, session: EntrySession, frame: EntryFrame) -> None:
+        self._note_config(frame)
+        now_s = anyio.current_time()
+        for order in frame.starts:
+            run = Run(owner=session.incarnation, order=order, queued_at_s=now_s)
+            if self.runner is None or self.runner.is_over:
+                session.note_ended(order.order_id, OrderOutcome.NOT_STARTED, 0.0, "no worker")
+            else:
+                self.runner.submit(run)
+        if frame.stops and self.runner is not None:
+            wanted = set(frame.stops)
+            for run in self.runner.ledger.owned_by(session.incarnation):
+                if run.order.order_id in wanted:
+                    self.runner.stop(run, "the entry asked for it")
+        if frame.starts or frame.stops:
+            self.links.announce()
+
+    def _note_config(self, frame: EntryFrame) -> None:
+        if frame.withdrawn is None or frame.config_version < self.config_version:
+            return
+        self.config_version = frame.config_version
+        if self.withdrawn != frozenset(frame.withdrawn):
+            self.withdrawn = frozenset(frame.withdrawn)
+            log.info(
+                "agent: withdrawn domains version=%d domains=%s",
+                self.config_version,
+                ",".join(sorted(self.withdrawn)) or "none",
+            )
+            if not self._is_accepting():
+                self._give_back_queue("the failure domain is withdrawn")
+            self.links.announce()
+
+    def _held_orders(self, entry: str) -> tuple[int, ...]:
+        if self.runner is None:
+            return ()
+        return tuple(run.order.order_id for run in self.runner.ledger.owned_by(entry))
+
+    def _on_lease_lost(self, session: EntrySession, cause: str) -> None:
+        if self.runner is not None:
+            for run in self.runner.ledger.owned_by(session.incarnation):
+                self.runner.stop(run, cause)
+
+    def _on_started(self, run: Run) -> None:
+        ref = run.order.ref
+        log.info(
+            "agent: task started job=%s task=%d.%d run=%d waited_ms=%d",
+            ref.job_id,
+            ref.step,
+            ref.index,
+            run.number,
+            (run.started_at_s - run.queued_at_s) * 1000,
+        )
+        session = self.links.sessions.get(run.owner)
+        if session is not None:
+            session.note_started(run.order.order_id)
+
+    def _on_ended(self, run: Run, outcome: OrderOutcome, run_s: float, cause: str) -> None:
+        ref = run.order.ref
+        log.info(
+            "agent: task ended job=%s task=%d.%d run=%d outcome=%s ran_ms=%d cause=%s",
+            ref.job_id,
+            ref.step,
+            ref.index,
+            run.number,
+            outcome.name.lower(),
+            run_s * 1000,
+            cause,
+        )
+        session = self.links.sessions.get(run.owner)
+        if session is not None:
+            session.note_ended(run.order.order_id, outcome, run_s, cause)
+        self.links.announce()
+
+    def _report(self, session: EntrySession) -> WorkerReport | None:
+        runner, heartbeat = self.runner, self._heartbeat
+        if runner is None or heartbeat is None:
+            return None
+        return WorkerReport(
+            worker=heartbeat.worker,
+            life=heartbeat.life,
+            service=heartbeat.service,
+            labels=heartbeat.labels,
+            capacity=heartbeat.capacity,
+            free=runner.free,
+            slowness=round(runner.health.slowness, REPORTED_SLOWNESS_DIGITS),
+            is_accepting=self._is_accepting() and runner.is_ready,
+            is_suspect=runner.health.is_suspect,
+            queued=len(runner.ledger.queued),
+            orders_seen=session.orders_seen,
+        )
+
+
+def _age(heartbeat: WorkerHeartbeat) -> tuple[int, int]:
+    return (heartbeat.life, heartbeat.sequence)
--- /dev/null
+++ b/persimmoncrank/protocol/_dispatch.py
@@ -0,0 +1,294 @@
+"""Messages between entries and agents for tasks that run on workers, and the worker's port.
+
+Frames travel on one stream for each pair of an entry and an agent. They are arrays rather than
+maps, since bytes between failure domains are the dearest part of the control traffic.
+"""
+
+from __future__ import annotations
+
+import enum
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import msgspec
+from result import Result
+
+log = logging.getLogger(__name__)
+
+
+class Demand(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """An amount of a worker's resources: thousandths of a core, MB, and accelerators."""
+
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def __add__(self, other: Demand) -> Demand:
+        """Return the sum."""
+        return Demand(
+            cpu_millis=self.cpu_millis + other.cpu_millis,
+            memory_mb=self.memory_mb + other.memory_mb,
+            accelerators=self.accelerators + other.accelerators,
+        )
+
+    def __sub__(self, other: Demand) -> Demand:
+        """Return the difference, which may be negative."""
+        return Demand(
+            cpu_millis=self.cpu_millis - other.cpu_millis,
+            memory_mb=self.memory_mb - other.memory_mb,
+            accelerators=self.accelerators - other.accelerators,
+        )
+
+    def fits_in(self, room: Demand) -> bool:
+        """Tell whether the room covers this demand."""
+        return (
+            self.cpu_millis <= room.cpu_millis
+            and self.memory_mb <= room.memory_mb
+            and self.accelerators <= room.accelerators
+        )
+
+
+class TaskRef(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Names one task of a job."""
+
+    job_id: str
+    step: int
+    index: int
+
+
+class TaskOrder(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """An entry's order to run one task once.
+
+    ``order_id`` is unique within an entry's incarnation. ``nominal_s`` is the expected time on a
+    worker of speed 1. The order is void ``start_within_s`` after its arrival if it did not start.
+    ``rank`` orders waiting tasks of one priority: the least slack first.
+    """
+
+    order_id: int
+    ref: TaskRef
+    payload: str
+    demand: Demand
+    kind: str
+    service: str
+    priority: int
+    rank: float
+    nominal_s: float
+    start_within_s: float
+
+
+class OrderOutcome(enum.IntEnum):
+    """How an order ended.
+
+    After ``NOT_STARTED`` the task has not run under this order. After ``LOST`` and ``STOPPED`` it
+    may have run for a while and runs no more.
+    """
+
+    DONE = 1
+    FAILED = 2
+    STOPPED = 3
+    LOST = 4
+    NOT_STARTED = 5
+
+
+class OrderEnd(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """The end of an order; ``run_s`` counts from the start to the end on the worker."""
+
+    event_id: int
+    order_id: int
+    outcome: OrderOutcome
+    run_s: float
+    cause: str = ""
+
+
+class WorkerReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A worker's state as its agent sees it.
+
+    ``orders_seen`` counts the orders of the receiving entry that ``free`` takes account of.
+    ``slowness`` is the time that tasks take relative to a worker of speed 1.
+    """
+
+    worker: str
+    life: int
+    service: str
+    labels: tuple[str, ...]
+    capacity: Demand
+    free: Demand
+    slowness: float
+    is_accepting: bool
+    is_suspect: bool
+    queued: int
+    orders_seen: int
+
+
+class EntryAddress(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Where an incarnation of an entry serves its streams."""
+
+    incarnation: str
+    address: str
+
+
+class AgentHello(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """The first frame of a stream: who the agent is and which orders of the entry it holds.
+
+    ``orders_seen`` counts all orders that the agent has received of this incarnation of the entry.
+    """
+
+    agent: str
+    incarnation: str
+    domain: str
+    held: tuple[int, ...] = ()
+    orders_seen: int = 0
+
+
+class AgentFrame(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """One message of an agent; ``challenge`` asks for the renewal of the entry's lease."""
+
+    challenge: int = 0
+    hello: AgentHello | None = None
+    report: WorkerReport | None = None
+    started: tuple[int, ...] = ()
+    ended: tuple[OrderEnd, ...] = ()
+
+
+class EntryFrame(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """One message of an entry; ``challenge`` repeats the one that it answers.
+
+    ``withdrawn`` is None unless the set of withdrawn failure domains changed.
+    """
+
+    entry: str
+    challenge: int = 0
+    starts: tuple[TaskOrder, ...] = ()
+    stops: tuple[int, ...] = ()
+    seen_event: int = 0
+    config_version: int = 0
+    withdrawn: tuple[str, ...] | None = None
+    entries: tuple[EntryAddress, ...] = ()
+
+
+class StartRefusal(enum.StrEnum):
+    """Why a worker did not start a run."""
+
+    FENCE = "fence"
+    OLD_RUN = "old run"
+    LATE = "late"
+    NO_ROOM = "no room"
+    UNHEALTHY = "unhealthy"
+    WRONG_LIFE = "wrong life"
+    INVALID = "invalid"
+
+
+class RunEndKind(enum.StrEnum):
+    """How a run ended on its worker."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    BROKEN = "broken"
+    ALONE = "alone"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RunRef:
+    """One run of a task; ``number`` rises with each start of the task."""
+
+    task: TaskRef
+    number: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RunningRun:
+    """A run that a worker lists as running."""
+
+    run: RunRef
+    percent: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EndedRun:
+    """A run that a worker lists as ended; ``cursor`` numbers the ends of one worker's life."""
+
+    cursor: int
+    run: RunRef
+    kind: RunEndKind
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StartRun:
+    """An order to a worker; ``until_ms`` is a time on the worker's clock."""
+
+    run: RunRef
+    payload: str
+    until_ms: int
+    fence: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StartReply:
+    """A worker's answer to a start: its clock, and why it refused, if it did."""
+
+    clock_ms: int
+    refusal: StartRefusal | None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RunList:
+    """A worker's answer to a renewal of its lease."""
+
+    clock_ms: int
+    life: int
+    running: tuple[RunningRun, ...]
+    ended: tuple[EndedRun, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Renewal:
+    """A renewal of a worker's lease that also asks for its runs."""
+
+    fence: int
+    seen_cursor: int
+    until_ms: int | None
+    wait_ms: int
+
+
+class WorkerFaultKind(enum.StrEnum):
+    """Why a call to a worker has no usable answer; after NO_ANSWER it may take effect later."""
+
+    NO_ANSWER = "no answer"
+    NOT_CONNECTED = "not connected"
+    WRONG_LIFE = "wrong life"
+    FENCE = "fence"
+    REFUSED = "refused"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WorkerFault:
+    """One failed call to a worker."""
+
+    kind: WorkerFaultKind
+    message: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WorkerPort:
+    """The calls to one life of a worker."""
+
+    start: Callable[[StartRun], Awaitable[Result[StartReply, WorkerFault]]]
+    stop: Callable[[RunRef, int], Awaitable[Result[int, WorkerFault]]]
+    renew: Callable[[Renewal], Awaitable[Result[RunList, WorkerFault]]]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WorkerHeartbeat:
+    """What a worker says of itself; ``life`` rises with each of its starts."""
+
+    worker: str
+    life: int
+    address: str
+    service: str
+    labels: tuple[str, ...]
+    capacity: Demand
+    is_draining: bool
+    sequence: int
--- a/persimmoncrank/protocol/_platform.py
+++ b/persimmoncrank/protocol/_platform.py
@@ -20,6 +20,7 @@
 
     CONFLICT = "conflict"
     UNAVAILABLE = "unavailable"
+    HISTORY_GONE = "history gone"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -43,12 +44,12 @@
 class Write:
     """One conditional write; ``expected_version`` 0 means that the row must not exist.
 
-    ``value`` None deletes the row.
+    ``value`` None deletes the row. ``expected_version`` None writes whatever is there.
     """
 
     key: str
     value: bytes | None
-    expected_version: int
+    expected_version: int | None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -72,6 +73,15 @@
     rows: tuple[Row, ...]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RowChanges:
+    """Rows of a table and keys of dropped ones; ``version`` is where a feed goes on."""
+
+    rows: tuple[Row, ...]
+    removed: tuple[str, ...]
+    version: int
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class TableService:
     """The port to the platform's table service.
@@ -90,3 +100,15 @@
 
     put: Callable[[str, bytes], Awaitable[Result[None, StoreError]]]
     get: Callable[[str], Awaitable[Result[bytes | None, StoreError]]]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TableFeed:
+    """The port to the changes of one table.
+
+    ``read`` returns all rows; ``watch`` waits up to a number of seconds for changes after a
+    version, and fails with HISTORY_GONE where the store does not hold them any more.
+    """
+
+    read: Callable[[str], Awaitable[Result[RowChanges, StoreError]]]
+    watch: Callable[[str, int, float], Awaitable[Result[RowChanges, StoreError]]]
--- a/persimmoncrank/settings/__init__.py
+++ b/persimmoncrank/settings/__init__.py
@@ -3,10 +3,20 @@
 from __future__ import annotations
 
 from persimmoncrank.settings._loader import Fault, Loaded, load_settings, parse_settings
-from persimmoncrank.settings._schema import AgentSettings, EntrySettings, LogFormat, LogLevel
+from persimmoncrank.settings._schema import (
+    AgentSettings,
+    DispatchAgentSettings,
+    DispatchEntrySettings,
+    EntrySettings,
+    LogFormat,
+    LogLevel,
+    stream_seeds,
+)
 
 __all__ = [
     "AgentSettings",
+    "DispatchAgentSettings",
+    "DispatchEntrySettings",
     "EntrySettings",
     "Fault",
     "Loaded",
@@ -14,4 +24,5 @@
     "LogLevel",
     "load_settings",
     "parse_settings",
+    "stream_seeds",
 ]
--- a/persimmoncrank/settings/_loader.py
+++ b/persimmoncrank/settings/_loader.py
@@ -12,14 +12,14 @@
 import msgspec
 from result import Err, Ok, Result
 
-from persimmoncrank.settings._schema import DEPRECATED_KEYS, AgentSettings, EntrySettings
+from persimmoncrank.settings._schema import DEPRECATED_KEYS
 
 if TYPE_CHECKING:
     from pathlib import Path
 
 log = logging.getLogger(__name__)
 
-S = TypeVar("S", EntrySettings, AgentSettings)
+S = TypeVar("S")
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -67,12 +67,17 @@
             _convert(field.name, table[field.name], hints[field.name], values, faults)
         elif field.default is dataclasses.MISSING:
             faults.append(Fault(key=field.name, value="", cause="is required"))
-    if faults:
-        return Err(tuple(faults))
     warnings = tuple(_warn(key, list(hints)) for key in table if key not in hints)
+    if faults:
+        return Err((*faults, *map(_unknown_fault, warnings)))
     return Ok(Loaded(settings=schema(**values), warnings=warnings))
 
 
+def _unknown_fault(warning: str) -> Fault:
+    key, _, cause = warning.partition(": ")
+    return Fault(key=key, value="", cause=f"{cause} (warning)")
+
+
 def _convert(key: str, value: Any, hint: Any, values: dict[str, Any], faults: list[Fault]) -> None:
     try:
         values[key] = msgspec.convert(value, hint)
--- a/persimmoncrank/settings/_schema.py
+++ b/persimmoncrank/settings/_schema.py
@@ -23,6 +23,7 @@
     ),
 ]
 Count = Annotated[int, Meta(ge=1, description="a whole number of 1 or more")]
+Port = Annotated[int, Meta(ge=1, le=65_535, description="a port from 1 to 65535")]
 Seconds = Annotated[float, Meta(gt=0, description="a number of seconds above 0")]
 
 
@@ -86,6 +87,56 @@
     log_level: LogLevel = LogLevel.INFO
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DispatchEntrySettings:
+    """The settings of an entry that dispatches to workers.
+
+    ``seeds`` are addresses of entries, which serve their streams at ``seed_stream_port``. The
+    leases last at most ``worker_lease_limit_s``, and run out before a caller sends its job again.
+    """
+
+    name: Name
+    domain: Name
+    front_address: Address
+    ready_address: Address
+    control_address: Address
+    stream_address: Address
+    store_address: Address
+    metrics_address: Address
+    seed_stream_port: Port
+    seeds: tuple[Address, ...] = ()
+    worker_lease_limit_s: Seconds = 1.0
+    resend_s: Seconds = 1.3
+    grace_s: Seconds = 6.0
+    log_format: LogFormat = LogFormat.JSON
+    log_level: LogLevel = LogLevel.INFO
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DispatchAgentSettings:
+    """The settings of an agent beside a worker; see DispatchEntrySettings for seeds and leases."""
+
+    name: Name
+    domain: Name
+    worker_address: Address
+    control_address: Address
+    store_address: Address
+    metrics_address: Address
+    seed_stream_port: Port
+    seeds: tuple[Address, ...] = ()
+    worker_lease_limit_s: Seconds = 1.0
+    resend_s: Seconds = 1.3
+    grace_s: Seconds = 6.0
+    log_format: LogFormat = LogFormat.JSON
+    log_level: LogLevel = LogLevel.INFO
+
+
+def stream_seeds(settings: DispatchEntrySettings | DispatchAgentSettings) -> tuple[str, ...]:
+    """Return the stream addresses of the seeds."""
+    hosts = [seed.rpartition(":")[0] for seed in settings.seeds]
+    return tuple(f"{host}:{settings.seed_stream_port}" for host in hosts)
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class DeprecatedKey:
     """A key that is read no more, and what to use instead."""
--- a/persimmoncrank/standin/_platform.py
+++ b/persimmoncrank/standin/_platform.py
@@ -85,7 +85,7 @@
         for write in transaction.writes:
             row = self._rows.get(write.key)
             version = 0 if row is None else row.version
-            if version != write.expected_version:
+            if write.expected_version not in (None, version):
                 message = f"{write.key} is at version {version}"
                 return Err(StoreError(kind=StoreErrorKind.CONFLICT, message=message))
         self._apply(transaction)
--- a/persimmoncrank/state/__init__.py
+++ b/persimmoncrank/state/__init__.py
@@ -19,9 +19,12 @@
     missing_acknowledgements,
     next_elector_groups,
 )
+from persimmoncrank.state._durations import Durations
 from persimmoncrank.state._retry_budget import RetryBudget
+from persimmoncrank.state._run_ledger import Run, RunLedger, RunState
 from persimmoncrank.state._service_times import ServiceTimes
 from persimmoncrank.state._start_records import StartRecords, TaskKey, is_settled
+from persimmoncrank.state._worker_health import WorkerHealth
 
 __all__ = [
     "NEVER_S",
@@ -30,12 +33,17 @@
     "AgentViews",
     "Breaker",
     "Currency",
+    "Durations",
     "EntryCounters",
     "PeerVersion",
     "RetryBudget",
+    "Run",
+    "RunLedger",
+    "RunState",
     "ServiceTimes",
     "StartRecords",
     "TaskKey",
+    "WorkerHealth",
     "adopt",
     "age_s",
     "combine_statuses",
--- /dev/null
+++ b/persimmoncrank/state/_durations.py
@@ -0,0 +1,28 @@
+"""Expected times of tasks from declared estimates, which are often off."""
+
+from __future__ import annotations
+
+import logging
+import math
+from dataclasses import dataclass, field
+
+log = logging.getLogger(__name__)
+
+WEIGHT_OF_NEWEST = 0.05
+WEIGHT_OF_ESTIMATE = 0.5  # jobs of a kind differ about as much as an estimate is off
+MIN_ESTIMATE_S = 0.001
+
+
+@dataclass(kw_only=True)
+class Durations:
+    """Blends a job's own estimate with the mean of its kind, both as logarithms."""
+
+    _mean_logs: dict[str, float] = field(default_factory=dict)
+
+    def nominal_s(self, *, kind: str, estimate_s: float) -> float:
+        """Return the expected time on a worker of speed 1, and learn from the estimate."""
+        log_estimate = math.log(max(estimate_s, MIN_ESTIMATE_S))
+        mean = self._mean_logs.get(kind, log_estimate)
+        mean += WEIGHT_OF_NEWEST * (log_estimate - mean)
+        self._mean_logs[kind] = mean
+        return math.exp(WEIGHT_OF_ESTIMATE * log_estimate + (1 - WEIGHT_OF_ESTIMATE) * mean)
--- a/persimmoncrank/transport/__init__.py
+++ b/persimmoncrank/transport/__init__.py
@@ -11,6 +11,7 @@
 from persimmoncrank.transport._platform_http import PlatformClient
 from persimmoncrank.transport._rpc_client import RpcClient
 from persimmoncrank.transport._rpc_server import serve_rpc
+from persimmoncrank.transport._streams import serve_streams, stream_dialer
 
 __all__ = [
     "ApiLimits",
@@ -25,4 +26,6 @@
     "parse_address",
     "serve_http",
     "serve_rpc",
+    "serve_streams",
+    "stream_dialer",
 ]
