Count a start as void only after its call has concluded

Cause: a list of runs arrived while the start was still under way, and the order's time on the worker's clock was not set yet, so the run counted as never started; its room was given away and the task ran twice.

--- a/persimmoncrank/coordination/execution/_worker_runner.py
+++ b/persimmoncrank/coordination/execution/_worker_runner.py
@@ -352,13 +352,13 @@
                 run.last_percent = percent
                 run.progressed_at_s = self._now()
             return
-        if run.state is not RunState.RUNNING:
+        if run.state is RunState.UNCLEAR:
             is_void = runs.clock_ms > run.start_until_ms
             confirmed_at_s = run.stop_confirmed_at_s
             is_stopped = confirmed_at_s is not None and confirmed_at_s < sent_at_s
             if is_void or is_stopped:
                 self._end(run, OrderOutcome.NOT_STARTED, run.stop_cause or "void")
-        elif run.started_at_s < sent_at_s:
+        elif run.state is RunState.RUNNING and run.started_at_s < sent_at_s:
             missing = self._missing.get(run.ref, 0) + 1
             self._missing[run.ref] = missing
             if missing >= MISSING_LISTS_TO_LOSE:
