--- a/persimmoncrank/commands/dispatch.py
+++ b/persimmoncrank/commands/dispatch.py
@@ -103,18 +103,19 @@
     """Run an entry until SIGTERM."""
 
     async def serve(stop: anyio.Event) -> None:
-        await _serve_entry(settings, store, apps, read_seeds, stop)
+        await serve_dispatch_entry(settings, store, apps, read_seeds, stop)
 
     _run(serve, settings)
 
 
-async def _serve_entry(
+async def serve_dispatch_entry(
     settings: DispatchEntrySettings,
     store: StorePorts,
     apps: EntryApps,
     read_seeds: ReadSeeds,
     stop: anyio.Event,
 ) -> None:
+    """Serve an entry until ``stop`` is set and its jobs have ended."""
     lease_s = _lease_s(settings.resend_s, settings.worker_lease_limit_s)
     entry = EntryAddress(incarnation=_incarnation(settings.name), address=settings.stream_address)
     dispatcher = Dispatcher(
@@ -183,14 +184,15 @@
     """Run an agent until SIGTERM."""
 
     async def serve(stop: anyio.Event) -> None:
-        await _serve_agent(settings, worker, read_seeds, stop)
+        await serve_dispatch_agent(settings, worker, read_seeds, stop)
 
     _run(serve, settings)
 
 
-async def _serve_agent(
+async def serve_dispatch_agent(
     settings: DispatchAgentSettings, worker: WorkerPorts, read_seeds: ReadSeeds, stop: anyio.Event
 ) -> None:
+    """Serve an agent until ``stop`` is set and its runs have ended."""
     lease_s = _lease_s(settings.resend_s, settings.worker_lease_limit_s)
     incarnation = _incarnation(settings.name)
     agent = WorkerAgent(
