--- a/persimmoncrank/commands/dispatch.py
+++ b/persimmoncrank/commands/dispatch.py
@@ -36,10 +36,11 @@
     WorkerPort,
     make_incarnation,
 )
-from persimmoncrank.transport import serve_http, serve_streams, stream_dialer
+from persimmoncrank.transport import metrics_app, serve_http, serve_streams, stream_dialer
 
 if TYPE_CHECKING:
     from persimmoncrank.settings import DispatchAgentSettings, DispatchEntrySettings
+    from persimmoncrank.transport import Metrics
 
 log = logging.getLogger(__name__)
 
@@ -136,6 +137,11 @@
     async def follow() -> None:
         await follow_directory(table=store.table, on_entries=set_entries)
 
+    def entry_page() -> Metrics:
+        from persimmoncrank.transport import dispatch_entry_metrics
+
+        return dispatch_entry_metrics(dispatcher)
+
     set_entries(())
     async with (
         serve_streams(
@@ -145,6 +151,7 @@
         ),
         serve_http(apps.front(dispatcher), settings.front_address),
         serve_http(apps.ready(dispatcher), settings.ready_address),
+        serve_http(metrics_app(entry_page), settings.metrics_address),
         anyio.create_task_group() as group,
     ):
         log.info("entry: serving entry=%s lease_ms=%d", entry.incarnation, lease_s * 1000)
@@ -206,6 +213,11 @@
         times=LeaseTimes(entry_lease_s=lease_s, worker_lease_s=lease_s),
     )
 
+    def agent_page() -> Metrics:
+        from persimmoncrank.transport import dispatch_agent_metrics
+
+        return dispatch_agent_metrics(agent)
+
     async def follow_seeds() -> None:
         while True:
             agent.set_seeds(read_seeds())
@@ -213,6 +225,7 @@
 
     async with (
         serve_http(worker.app(agent), settings.control_address),
+        serve_http(metrics_app(agent_page), settings.metrics_address),
         anyio.create_task_group() as group,
     ):
         log.info("agent: serving agent=%s lease_ms=%d", incarnation, lease_s * 1000)
--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -34,7 +34,7 @@
     WorkerJobAnswer,
     refusal,
 )
-from persimmoncrank.state import Durations
+from persimmoncrank.state import Durations, EntryCounters, LatencyHistogram
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -77,6 +77,8 @@
         self._times = times
         self._entries: dict[str, EntryAddress] = {}
         self._entries_version = 0
+        self.counters = EntryCounters()
+        self.job_times = LatencyHistogram()
         self._durations = Durations()
         self._order_ids = itertools.count(1)
         self._place_wanted = anyio.Event()
@@ -139,6 +141,7 @@
             refused = self._refuse(job)
             if refused is not None:
                 log.info("entry: job refused job=%s cause=%s", job.job_id, refused.message)
+                self.counters.jobs_refused[refused.kind] += 1
                 return WorkerJobAnswer(error=refused)
             run = self._admit(job)
         else:
@@ -156,8 +159,19 @@
         if self.is_closed:
             message = "the entry is leaving"
             return refusal(ErrorKind.SHUTTING_DOWN, message, retry_after_ms=RETRY_AFTER_MS)
+        if job.unsupported:
+            message = f"not served here: {', '.join(job.unsupported)}"
+            return refusal(ErrorKind.UNSUPPORTED, message)
         return None
 
+    def cancel(self, job_id: str) -> bool:
+        """Cancel a job for its caller; return False if it does not run here."""
+        run = self.jobs.get(job_id)
+        if run is None:
+            return False
+        self._finish(run, WorkerJobAnswer(cause="cancelled"))
+        return True
+
     def _admit(self, job: WorkerJob) -> JobRun:
         nominal_s = [
             self._durations.nominal_s(kind=step.image or job.queue.name, estimate_s=step.estimate_s)
@@ -173,6 +187,7 @@
                 ref = TaskRef(job_id=job.job_id, step=number, index=index)
                 run.tasks.append(JobTask(job=run, ref=ref, step=step, nominal_s=nominal_s[number]))
         self.jobs[job.job_id] = run
+        self.counters.jobs_admitted += 1
         log.info(
             "entry: job admitted job=%s queue=%s queues_version=%d tasks=%d chain_ms=%d pending=%d",
             job.job_id,
@@ -198,6 +213,7 @@
         self.jobs.pop(run.job.job_id, None)
         self.pending = [task for task in self.pending if task.job is not run]
         self._stop_orders(run)
+        self._count_answer(run, answer)
         log.info(
             "entry: job answered job=%s completed=%s took_ms=%d objective_ms=%d cause=%s",
             run.job.job_id,
@@ -207,6 +223,16 @@
             answer.error.message if answer.error else answer.cause or "none",
         )
 
+    def _count_answer(self, run: JobRun, answer: WorkerJobAnswer) -> None:
+        self.job_times.observe(anyio.current_time() - run.arrived_at_s)
+        error = answer.error
+        if answer.is_completed:
+            self.counters.jobs_complete += 1
+        elif error is not None and error.not_run:
+            self.counters.jobs_refused[error.kind] += 1
+        else:
+            self.counters.jobs_failed[error.kind if error else ErrorKind.TASK_FAILED] += 1
+
     def _stop_orders(self, run: JobRun) -> None:
         for link in self.links.values():
             for order in link.orders.values():
@@ -254,6 +280,7 @@
         task.state = TaskState.ORDERED
         task.order_id = order.order_id
         link.send_order(OpenOrder(task=task, order=order))
+        self.counters.tasks_placed += 1
         report = link.report
         log.info(
             "placement: task ordered job=%s task=%d.%d worker=%s slowness=%.2f free_cpu=%d",
@@ -393,8 +420,10 @@
         if run.is_over or run.is_given_up or task.order_id != order.order.order_id:
             return
         if outcome is OrderOutcome.DONE:
+            self.counters.tasks_succeeded += 1
             self._note_done(task)
             return
+        self.counters.tasks_refused[outcome.name.lower()] += 1
         if outcome is OrderOutcome.FAILED:
             task.failures += 1
             if link is not None and link.report is not None:
--- a/persimmoncrank/coordination/execution/_worker_agent.py
+++ b/persimmoncrank/coordination/execution/_worker_agent.py
@@ -20,7 +20,7 @@
     WorkerPort,
     WorkerReport,
 )
-from persimmoncrank.state import Run, RunLedger
+from persimmoncrank.state import AgentCounters, LatencyHistogram, Run, RunLedger
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -62,6 +62,9 @@
         """Create an agent that has not heard of its worker yet."""
         self.hello = hello
         self.runner: WorkerRunner | None = None
+        self.counters = AgentCounters()
+        self.run_times = LatencyHistogram()
+        self.wait_times = LatencyHistogram()
         self.config_version = 0
         self.withdrawn: frozenset[str] = frozenset()
         self.links = EntryLinks(
@@ -233,6 +236,8 @@
 
     def _on_started(self, run: Run) -> None:
         ref = run.order.ref
+        self.counters.tasks_started += 1
+        self.wait_times.observe(run.started_at_s - run.queued_at_s)
         log.info(
             "agent: task started job=%s task=%d.%d run=%d waited_ms=%d",
             ref.job_id,
@@ -247,6 +252,9 @@
 
     def _on_ended(self, run: Run, outcome: OrderOutcome, run_s: float, cause: str) -> None:
         ref = run.order.ref
+        self.counters.tasks_ended[outcome.name.lower()] += 1
+        if outcome is OrderOutcome.DONE:
+            self.run_times.observe(run_s)
         log.info(
             "agent: task ended job=%s task=%d.%d run=%d outcome=%s ran_ms=%d cause=%s",
             ref.job_id,
--- a/persimmoncrank/protocol/_errors.py
+++ b/persimmoncrank/protocol/_errors.py
@@ -22,6 +22,7 @@
     UNCOVERED_KIND = "uncovered_kind"
     NO_ALLOWED_DOMAIN = "no_allowed_domain"
     CANNOT_RUN = "cannot_run"
+    UNSUPPORTED = "unsupported"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     OVERLOADED = "overloaded"
     NOT_CURRENT = "not_current"
@@ -79,6 +80,7 @@
     ErrorKind.UNCOVERED_KIND: _final(403),
     ErrorKind.NO_ALLOWED_DOMAIN: _retryable(503),
     ErrorKind.CANNOT_RUN: _final(422),
+    ErrorKind.UNSUPPORTED: _final(503),
     ErrorKind.DEADLINE_UNREACHABLE: _retryable(503),
     ErrorKind.OVERLOADED: _retryable(429),
     ErrorKind.NOT_CURRENT: _retryable(503),
--- a/persimmoncrank/protocol/_queues.py
+++ b/persimmoncrank/protocol/_queues.py
@@ -64,13 +64,17 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WorkerJob:
-    """One job under the caller's own id; ``deadline_s`` counts from its arrival."""
+    """One job under the caller's own id; ``deadline_s`` counts from its arrival.
+
+    ``unsupported`` names what the job asks for and the dispatcher does not do.
+    """
 
     job_id: str
     queue: Queue
     payload: str
     steps: tuple[Step, ...]
     deadline_s: float
+    unsupported: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/persimmoncrank/state/__init__.py
+++ b/persimmoncrank/state/__init__.py
@@ -36,6 +36,7 @@
     from persimmoncrank.state._durations import (
         Durations,
     )
+    from persimmoncrank.state._latency_histogram import LatencyHistogram
     from persimmoncrank.state._retry_budget import (
         RetryBudget,
     )
@@ -65,6 +66,7 @@
     "Currency",
     "Durations",
     "EntryCounters",
+    "LatencyHistogram",
     "PeerVersion",
     "RetryBudget",
     "Run",
@@ -88,6 +90,7 @@
 ]
 
 _MODULES = {
+    "LatencyHistogram": "_latency_histogram",
     "AgentCounters": "_counters",
     "AgentView": "_agent_views",
     "AgentViews": "_agent_views",
--- a/persimmoncrank/transport/__init__.py
+++ b/persimmoncrank/transport/__init__.py
@@ -26,8 +26,11 @@
     from persimmoncrank.transport._metrics import (
         Metrics,
         agent_metrics,
+        dispatch_agent_metrics,
+        dispatch_entry_metrics,
         entry_metrics,
     )
+    from persimmoncrank.transport._metrics_app import metrics_app
     from persimmoncrank.transport._platform_http import (
         PlatformClient,
     )
@@ -50,8 +53,11 @@
     "RpcClient",
     "agent_app",
     "agent_metrics",
+    "dispatch_agent_metrics",
+    "dispatch_entry_metrics",
     "entry_app",
     "entry_metrics",
+    "metrics_app",
     "parse_address",
     "serve_http",
     "serve_rpc",
@@ -60,6 +66,9 @@
 ]
 
 _MODULES = {
+    "metrics_app": "_metrics_app",
+    "dispatch_agent_metrics": "_metrics",
+    "dispatch_entry_metrics": "_metrics",
     "ApiLimits": "_entry_http",
     "BackendClient": "_backend_http",
     "Metrics": "_metrics",
--- a/persimmoncrank/transport/_http_server.py
+++ b/persimmoncrank/transport/_http_server.py
@@ -13,10 +13,12 @@
 from persimmoncrank.transport._addresses import parse_address
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Iterator
+    from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 
     from starlette.applications import Starlette
 
+    App = Starlette | Callable[..., Awaitable[None]]
+
 log = logging.getLogger(__name__)
 
 STARTED_POLL_INTERVAL_S = 0.01
@@ -55,7 +57,7 @@
 
 @contextlib.asynccontextmanager
 async def serve_http(
-    app: Starlette, address: str, *, max_connections: int | None = None
+    app: App, address: str, *, max_connections: int | None = None
 ) -> AsyncIterator[str]:
     """Serve an application at ``host:port``; gives the address."""
     listener = open_listener(address)
--- a/persimmoncrank/transport/_metrics.py
+++ b/persimmoncrank/transport/_metrics.py
@@ -12,6 +12,9 @@
     from collections.abc import Callable, Mapping
 
     from persimmoncrank.coordination import AgentNode, EntryNode
+    from persimmoncrank.coordination.dispatch import Dispatcher
+    from persimmoncrank.coordination.execution import WorkerAgent
+    from persimmoncrank.state import LatencyHistogram
     from persimmoncrank.transport._rpc_client import RpcClient
 
 log = logging.getLogger(__name__)
@@ -48,6 +51,14 @@
         for value, count in values.items():
             self.counter(name, doc, count, **{label: value})
 
+    def histogram(self, name: str, doc: str, times: LatencyHistogram) -> None:
+        """Set the buckets, the sum and the count of a histogram."""
+        buckets = times.cumulative()
+        for bound, count in buckets.items():
+            self.counter(f"{name}_bucket", doc, count, le=bound)
+        self.counter(f"{name}_sum", doc, times.sum_s)
+        self.counter(f"{name}_count", doc, buckets["+Inf"])
+
     def render(self, accepts: list[str]) -> tuple[bytes, dict[str, str]]:
         """Return the page and its headers."""
         self._collect(self)
@@ -108,6 +119,50 @@
     )
 
 
+def dispatch_entry_metrics(dispatcher: Dispatcher) -> Metrics:
+    """Return the metrics of an entry that dispatches to workers."""
+
+    def collect(metrics: Metrics) -> None:
+        counters = dispatcher.counters
+        metrics.counter("jobs_admitted_total", "Jobs admitted", counters.jobs_admitted)
+        metrics.counter("jobs_complete_total", "Jobs completed", counters.jobs_complete)
+        metrics.counters("jobs_failed_total", "Jobs failed", "kind", counters.jobs_failed)
+        metrics.counters("jobs_refused_total", "Jobs refused", "kind", counters.jobs_refused)
+        metrics.counter("tasks_placed_total", "Orders sent to agents", counters.tasks_placed)
+        metrics.counter("tasks_done_total", "Orders ended well", counters.tasks_succeeded)
+        metrics.counters(
+            "orders_ended_total", "Orders ended otherwise", "outcome", counters.tasks_refused
+        )
+        metrics.histogram("job_seconds", "Time from arrival to answer", dispatcher.job_times)
+        metrics.gauge("jobs_running", "Jobs running now", len(dispatcher.jobs))
+        metrics.gauge("tasks_pending", "Tasks waiting for room", len(dispatcher.pending))
+        metrics.gauge("config_version", "Version held", dispatcher.config_version)
+        connected = sum(link.is_connected for link in dispatcher.links.values())
+        metrics.gauge("agents_connected", "Agents with a stream", connected)
+
+    return Metrics(collect=collect, labels={"entry": dispatcher.entry.incarnation})
+
+
+def dispatch_agent_metrics(agent: WorkerAgent) -> Metrics:
+    """Return the metrics of an agent beside a worker."""
+
+    def collect(metrics: Metrics) -> None:
+        metrics.counter("tasks_started_total", "Tasks started", agent.counters.tasks_started)
+        metrics.counters("tasks_ended_total", "Orders ended", "outcome", agent.counters.tasks_ended)
+        metrics.histogram("task_wait_seconds", "Time from order to start", agent.wait_times)
+        metrics.histogram("task_run_seconds", "Time of tasks that ended well", agent.run_times)
+        runner = agent.runner
+        if runner is not None:
+            metrics.gauge("tasks_running", "Runs on the worker", len(runner.ledger.active))
+            metrics.gauge("tasks_queued", "Orders that wait", len(runner.ledger.queued))
+            metrics.gauge("worker_slowness", "Time relative to speed 1", runner.health.slowness)
+        metrics.gauge("config_version", "Version held", agent.config_version)
+        metrics.gauge("entries_known", "Entries with a session", len(agent.links.sessions))
+
+    labels = {"agent": agent.hello.incarnation, "domain": agent.hello.domain}
+    return Metrics(collect=collect, labels=labels)
+
+
 def _collect_calls(metrics: Metrics, client: RpcClient) -> None:
     metrics.counter("calls_total", "Calls to other processes", client.calls_count)
     metrics.counter("calls_failed_total", "Calls that failed", client.failures_count)
