Give up the runs of a worker that does not answer once its lease has run out

Cause: a renewal that is not answered may be carried out, so each further one could extend the lease, and the runs of a dead worker were never given up; their jobs waited until their callers left. A silent worker now gets renewals without an extension. Before: the new test finds no end within 2 s.

--- a/persimmoncrank/coordination/execution/_worker_runner.py
+++ b/persimmoncrank/coordination/execution/_worker_runner.py
@@ -49,6 +49,9 @@
 FENCE_STEP = 1_000_000
 MAX_START_TRIES = 4
 MISSING_LISTS_TO_LOSE = 3
+SLOWEST_CLOCK = 1.02  # a worker's clock may be 2% slow
+LAPSE_MARGIN_S = 0.05
+SILENCE_S = 2 * (RENEWAL_WAIT_S + CALL_TIMEOUT_S)
 
 _OUTCOMES = {
     RunEndKind.DONE: OrderOutcome.DONE,
@@ -96,12 +99,13 @@
         self._missing: dict[RunRef, int] = {}
         self._is_listed = False
         self._listed_at_s = 0.0
+        self._extended_at_s = 0.0
         self._group: TaskGroup | None = None
 
     @property
     def is_ready(self) -> bool:
-        """Whether the worker has listed its runs within its lease."""
-        return self._is_listed and self._now() - self._listed_at_s < self._lease_s
+        """Whether the worker answers: it has listed its runs a short while ago."""
+        return self._is_listed and self._now() - self._listed_at_s < SILENCE_S
 
     @property
     def free(self) -> Demand:
@@ -185,6 +189,7 @@
     async def _order_start(self, run: Run) -> Result[StartReply, WorkerFault]:
         until_ms = self._clock.estimate_ms(now_s=self._now()) + int(self._lease_s * 1000)
         run.start_until_ms = max(run.start_until_ms, until_ms)
+        self._extended_at_s = self._now()
         order = StartRun(
             run=run.ref, payload=run.order.payload, until_ms=until_ms, fence=self.fence
         )
@@ -274,8 +279,13 @@
                     await anyio.sleep(RENEWAL_PAUSE_S)
 
     def _renewal(self) -> Renewal:
+        """Return the next renewal; it extends no lease of a worker that does not answer.
+
+        So the lease of such a worker runs out at a known time, and nothing runs on it any more.
+        """
         until_ms = None
-        if self._clock.is_known:
+        if self._clock.is_known and (self.is_ready or not self._is_listed):
+            self._extended_at_s = self._now()
             until_ms = self._clock.estimate_ms(now_s=self._now()) + int(self._lease_s * 1000)
         wait_ms = int(RENEWAL_WAIT_S * 1000) if self._is_listed else 0
         return Renewal(
@@ -295,8 +305,21 @@
                 fault.message,
             )
             self._events.changed()
+        lapse_s = self._lease_s * SLOWEST_CLOCK + LAPSE_MARGIN_S
+        if self.ledger.active and self._now() - self._extended_at_s > lapse_s:
+            self._lose_all("the worker's lease has run out")
         return True
 
+    def _lose_all(self, cause: str) -> None:
+        log.warning(
+            "agent: runs lost worker=%s runs=%d cause=%s",
+            self.worker.worker,
+            len(self.ledger.active),
+            cause,
+        )
+        for run in list(self.ledger.active.values()):
+            self._end(run, OrderOutcome.LOST, cause)
+
     def _note_list(self, runs: RunList, *, sent_at_s: float) -> None:
         if runs.life != self.worker.life:
             self.end_life(f"the worker answers as life {runs.life}")
--- a/persimmoncrank/tests/test_worker_runner.py
+++ b/persimmoncrank/tests/test_worker_runner.py
@@ -226,3 +226,24 @@
         assert runner.is_over
 
     play(scene)
+
+
+def test_runs_of_a_silent_worker_are_lost_once_its_lease_has_run_out() -> None:
+    async def scene(group: TaskGroup) -> None:
+        scene = Scene(run_s=30.0)
+        runner = await scene.start(group)
+        runner.submit(make_run(1))
+        await anyio.sleep(0.2)
+        scene.worker.faults.is_silent = True
+        await anyio.sleep(2.0)
+        assert scene.ends == [(1, OrderOutcome.LOST)]
+        (run,) = scene.worker.history
+        assert run.ended_at_s is not None
+        runner.submit(make_run(2))
+        await anyio.sleep(0.2)
+        assert len(scene.worker.history) == 1
+        scene.worker.faults.is_silent = False
+        await anyio.sleep(0.5)
+        assert len(scene.worker.history) == 2
+
+    play(scene)
