--- a/persimmoncrank/coordination/_submissions.py
+++ b/persimmoncrank/coordination/_submissions.py
@@ -91,7 +91,7 @@
     ) -> Answer:
         """Take a key over whose submission ended with its issuer before anything started."""
         replaced = await self._claims.claim(
-            customer=spec.customer, key=key, submission_id=own_id, replaces=claim.row_version
+            customer=spec.customer, key=key, submission_id=own_id, replaces=claim.stored_version
         )
         if replaced.is_err():
             return Err(replaced.unwrap_err())
--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -399,9 +399,21 @@
             self._note_end(link, end)
         if frame.report is not None:
             link.note_report(frame.report)
+            if frame.report.is_accepting:
+                self._lose_earlier_incarnations(link)
         if self.pending:
             self._place_wanted.set()
 
+    def _lose_earlier_incarnations(self, link: AgentLink) -> None:
+        """Give up the orders of an agent's earlier processes.
+
+        The present one takes orders only after it saw the runs of earlier ones end.
+        """
+        for other in list(self.links.values()):
+            is_same_agent = other.hello.agent == link.hello.agent
+            if is_same_agent and other is not link and not other.is_connected:
+                self._lose_link(other, "the agent started again")
+
     def _note_end(self, link: AgentLink, end: OrderEnd) -> None:
         if end.event_id <= link.seen_event:
             return
@@ -472,12 +484,18 @@
             return
         if now_s < link.granted_at_s + self._times.orders_lost_after_s:
             return
+        self._lose_link(link, "the agent is out of reach")
+
+    def _lose_link(self, link: AgentLink, cause: str) -> None:
         log.warning(
-            "entry: agent lost agent=%s open_orders=%d", link.hello.incarnation, len(link.orders)
+            "entry: agent lost agent=%s open_orders=%d cause=%s",
+            link.hello.incarnation,
+            len(link.orders),
+            cause,
         )
         del self.links[link.hello.incarnation]
         for order in list(link.orders.values()):
-            self._end_order(order, OrderOutcome.LOST, "the agent is out of reach")
+            self._end_order(order, OrderOutcome.LOST, cause)
 
     def _check_job(self, run: JobRun, now_s: float) -> None:
         """Give up a job that has not started and could not be of use any more.
--- /dev/null
+++ b/persimmoncrank/tests/test_worker_mutations.py
@@ -0,0 +1,75 @@
+"""Each invariant of runs on workers catches a broken line."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING, Any
+
+import pytest
+
+from persimmoncrank.bench._network import run_virtual
+from persimmoncrank.coordination.dispatch._dispatcher import DispatchTimes
+from persimmoncrank.coordination.execution._entry_links import EntryLinks
+from persimmoncrank.coordination.execution._worker_runner import WorkerRunner
+from persimmoncrank.state import RunLedger
+from persimmoncrank.tests import test_worker_histories as histories
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+MAX_SEEDS = 3
+LONGEST_S = 3.0
+
+
+def forget_used_room(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Count no room as used."""
+    monkeypatch.setattr(RunLedger, "free", property(lambda ledger: ledger.capacity))
+
+
+def lose_orders_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Place tasks again without waiting for the leases of an agent out of reach."""
+    monkeypatch.setattr(DispatchTimes, "orders_lost_after_s", property(lambda _times: 0.05))
+
+
+def keep_runs_of_lost_entries(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let runs go on after the entry's lease has run out."""
+
+    def ignore(*_args: Any) -> None:
+        return None
+
+    monkeypatch.setattr(EntryLinks, "_lose_lease", ignore)
+
+
+def ignore_unknown_runs(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Start beside runs of an earlier process of the agent."""
+
+    def ignore(*_args: Any) -> None:
+        return None
+
+    monkeypatch.setattr(WorkerRunner, "_note_strangers", ignore)
+
+
+CASES = [
+    (forget_used_room, histories.no_fault),
+    (lose_orders_at_once, histories.kill_agent),
+    (keep_runs_of_lost_entries, histories.kill_entry),
+    (ignore_unknown_runs, histories.kill_agent),
+]
+
+
+@pytest.mark.parametrize(("mutate", "fault"), CASES, ids=lambda case: case.__name__)
+def test_a_broken_line_is_caught(
+    monkeypatch: pytest.MonkeyPatch,
+    mutate: Callable[[pytest.MonkeyPatch], None],
+    fault: Callable[..., Any],
+) -> None:
+    mutate(monkeypatch)
+
+    def play_all() -> None:
+        for seed in range(MAX_SEEDS):
+            scene = partial(histories.play, seed, [fault, fault], longest_s=LONGEST_S)
+            run_virtual(scene, seed=seed)
+
+    with pytest.raises(BaseExceptionGroup) as caught:
+        play_all()
+    assert caught.group_contains(AssertionError)
