Refuse a job soon when no worker in view may run it

Cause: a job at an entry that sees no worker it may use was held until an answer could not be of use, and its caller could not go elsewhere. Held 25% of the objective, so that a broken stream of an agent can come back.

--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -45,6 +45,7 @@
 STOP_MARGIN_S = 0.1
 WATCH_INTERVAL_S = 0.05
 RETRY_AFTER_MS = 1_000
+NO_WORKER_WAIT_SHARE = 0.25  # of the objective: an agent whose stream broke is back within that
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -503,7 +504,7 @@
         It is refused as not run once every order has come back without a start.
         """
         if not run.is_given_up:
-            if run.may_have_started or now_s < run.useful_until_s - run.chain_s:
+            if run.may_have_started or not self._is_hopeless(run, now_s):
                 return
             run.is_given_up = True
             self.pending = [task for task in self.pending if task.job is not run]
@@ -513,10 +514,27 @@
         if run.may_have_started:
             self._give_up(run, "it started too late")
             return
-        message = "no worker had room in time; not run"
+        message = f"{self._describe_shortage(run)}; not run"
         error = refusal(ErrorKind.OVERLOADED, message, retry_after_ms=RETRY_AFTER_MS)
         self._finish(run, WorkerJobAnswer(error=error))
 
+    def _is_hopeless(self, run: JobRun, now_s: float) -> bool:
+        """Tell whether a job that waits cannot be of use, or no worker in view may run it."""
+        if now_s >= run.useful_until_s - run.chain_s:
+            return True
+        if now_s < run.arrived_at_s + NO_WORKER_WAIT_SHARE * run.objective_s:
+            return False
+        return not self._has_orders(run) and not self._has_workers(run)
+
+    def _has_workers(self, run: JobRun) -> bool:
+        """Tell whether some worker in view may run each task that waits."""
+        return all(
+            self.has_eligible_worker(task) for task in run.tasks if task.state is TaskState.PENDING
+        )
+
+    def _describe_shortage(self, run: JobRun) -> str:
+        return "no worker had room in time" if self._has_workers(run) else "no worker may run it"
+
     def _has_orders(self, run: JobRun) -> bool:
         return any(
             order.task.job is run for link in self.links.values() for order in link.orders.values()
--- /dev/null
+++ b/persimmoncrank/tests/test_dispatcher.py
@@ -0,0 +1,123 @@
+"""Tests of the dispatcher: what it places where, and what it turns away."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import pytest
+
+from persimmoncrank.bench._network import run_virtual
+from persimmoncrank.protocol import ErrorKind, QueueTable
+from persimmoncrank.tests.worker_invariants import check_all
+from persimmoncrank.tests.worker_world import QUEUE, WorkerWorld, make_worker_job
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+
+def play(scene: Callable[[WorkerWorld], Awaitable[Any]], **sizes: int) -> Any:
+    """Run a scene in a world of its own."""
+
+    async def main() -> Any:
+        async with anyio.create_task_group() as group:
+            world = WorkerWorld(group=group)
+            await world.start(**sizes)
+            result = await scene(world)
+            check_all(world)
+            group.cancel_scope.cancel()
+        return result
+
+    return run_virtual(main)
+
+
+@pytest.mark.parametrize(
+    "cause", ["withdrawn", "too large", "no agent"], ids=lambda cause: cause.replace(" ", "-")
+)
+def test_a_job_that_no_worker_may_run_is_refused_soon(cause: str) -> None:
+    async def scene(world: WorkerWorld) -> None:
+        job = make_worker_job("0" * 16, cpu_millis=99_000 if cause == "too large" else 1600)
+        if cause == "withdrawn":
+            domains = tuple(f"d-{name}" for name in world.agents)
+            table = QueueTable(version=2, queues=(QUEUE,))
+            world.dispatcher("e0").set_config(table, domains, 2)
+        if cause == "no agent":
+            world.network.cuts.add(frozenset({"e0"}))
+            await anyio.sleep(1.0)
+        sent_at_s = anyio.current_time()
+        answer = await world.submit("e0", job)
+        assert answer is not None
+        assert answer.error is not None
+        assert answer.error.kind is ErrorKind.OVERLOADED
+        assert answer.error.not_run
+        assert answer.error.retry_after_ms
+        assert anyio.current_time() - sent_at_s < 0.3
+        assert not any(worker.history for worker in world.workers.values())
+
+    play(scene)
+
+
+def test_urgent_jobs_get_room_first() -> None:
+    async def scene(world: WorkerWorld) -> None:
+        world.run_s = lambda _task: 0.4
+        ends: list[str] = []
+        later = replace(QUEUE, name="later", priority=2)
+
+        async def submit(job_id: str, **options: Any) -> None:
+            await world.submit("e0", make_worker_job(job_id, tasks=4, cpu_millis=4000, **options))
+            ends.append(job_id)
+
+        async with anyio.create_task_group() as jobs:
+            jobs.start_soon(lambda: submit("running", estimate_s=0.4))
+            await anyio.sleep(0.1)
+            jobs.start_soon(lambda: submit("later", queue=later, estimate_s=0.4))
+            await anyio.sleep(0.05)
+            jobs.start_soon(lambda: submit("urgent", estimate_s=0.4))
+        assert ends == ["running", "urgent", "later"]
+
+    play(scene, entries=1, agents=1)
+
+
+def test_the_same_id_twice_is_one_job() -> None:
+    async def scene(world: WorkerWorld) -> None:
+        job = make_worker_job("1" * 16)
+        async with anyio.create_task_group() as jobs:
+            jobs.start_soon(world.submit, "e0", job)
+            jobs.start_soon(world.submit, "e0", job)
+        assert sum(len(worker.history) for worker in world.workers.values()) == 4
+
+    play(scene)
+
+
+def test_a_task_that_always_fails_fails_its_job_after_its_attempts() -> None:
+    async def scene(world: WorkerWorld) -> None:
+        for worker in world.workers.values():
+            worker.poison = lambda task: task.index == 1
+        answer = await world.submit("e0", make_worker_job("2" * 16))
+        assert answer is not None
+        assert not answer.is_completed
+        assert "failed 3 times" in answer.cause
+        failed = [
+            run
+            for worker in world.workers.values()
+            for run in worker.history
+            if run.run.task.index == 1
+        ]
+        assert len(failed) == QUEUE.max_attempts
+        assert len({run.worker for run in failed}) == QUEUE.max_attempts
+
+    play(scene)
+
+
+def test_a_caller_that_leaves_has_its_tasks_stopped() -> None:
+    async def scene(world: WorkerWorld) -> None:
+        world.run_s = lambda _task: 5.0
+        with anyio.move_on_after(0.5):
+            await world.submit("e0", make_worker_job("3" * 16))
+        await anyio.sleep(0.3)
+        runs = [run for worker in world.workers.values() for run in worker.history]
+        assert len(runs) == 4
+        assert all(run.ended_at_s is not None for run in runs)
+
+    play(scene)
