--- a/persimmoncrank/settings/_schema.py
+++ b/persimmoncrank/settings/_schema.py
@@ -88,8 +88,8 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class DispatchEntrySettings:
-    """The settings of an entry that dispatches to workers.
+class DispatchSettings:
+    """What both roles that dispatch to workers have in common.
 
     ``seeds`` are addresses of entries, which serve their streams at ``seed_stream_port``. The
     leases last at most ``worker_lease_limit_s``, and run out before a caller sends its job again.
@@ -97,10 +97,7 @@
 
     name: Name
     domain: Name
-    front_address: Address
-    ready_address: Address
     control_address: Address
-    stream_address: Address
     store_address: Address
     metrics_address: Address
     seed_stream_port: Port
@@ -113,25 +110,22 @@
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
-class DispatchAgentSettings:
-    """The settings of an agent beside a worker; see DispatchEntrySettings for seeds and leases."""
+class DispatchEntrySettings(DispatchSettings):
+    """The settings of an entry that dispatches to workers."""
+
+    front_address: Address
+    ready_address: Address
+    stream_address: Address
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DispatchAgentSettings(DispatchSettings):
+    """The settings of an agent beside a worker."""
 
-    name: Name
-    domain: Name
     worker_address: Address
-    control_address: Address
-    store_address: Address
-    metrics_address: Address
-    seed_stream_port: Port
-    seeds: tuple[Address, ...] = ()
-    worker_lease_limit_s: Seconds = 1.0
-    resend_s: Seconds = 1.3
-    grace_s: Seconds = 6.0
-    log_format: LogFormat = LogFormat.JSON
-    log_level: LogLevel = LogLevel.INFO
 
 
-def stream_seeds(settings: DispatchEntrySettings | DispatchAgentSettings) -> tuple[str, ...]:
+def stream_seeds(settings: DispatchSettings) -> tuple[str, ...]:
     """Return the stream addresses of the seeds."""
     hosts = [seed.rpartition(":")[0] for seed in settings.seeds]
     return tuple(f"{host}:{settings.seed_stream_port}" for host in hosts)
--- a/persimmoncrank/transport/__init__.py
+++ b/persimmoncrank/transport/__init__.py
@@ -33,6 +33,7 @@
     from persimmoncrank.transport._metrics_app import metrics_app
     from persimmoncrank.transport._platform_http import (
         PlatformClient,
+        guard_store_call,
     )
     from persimmoncrank.transport._rpc_client import (
         RpcClient,
@@ -57,6 +58,7 @@
     "dispatch_entry_metrics",
     "entry_app",
     "entry_metrics",
+    "guard_store_call",
     "metrics_app",
     "parse_address",
     "serve_http",
@@ -66,6 +68,7 @@
 ]
 
 _MODULES = {
+    "guard_store_call": "_platform_http",
     "metrics_app": "_metrics_app",
     "dispatch_agent_metrics": "_metrics",
     "dispatch_entry_metrics": "_metrics",
--- a/persimmoncrank/transport/_platform_http.py
+++ b/persimmoncrank/transport/_platform_http.py
@@ -53,14 +53,16 @@
     def table(self) -> TableService:
         """Return the port to the table service."""
         return TableService(
-            get=_guarded(self._get_row),
-            transact=_guarded(self._transact),
-            scan=_guarded(self._scan),
+            get=guard_store_call(self._get_row),
+            transact=guard_store_call(self._transact),
+            scan=guard_store_call(self._scan),
         )
 
     def objects(self) -> ObjectStore:
         """Return the port to the object store."""
-        return ObjectStore(put=_guarded(self._put_object), get=_guarded(self._get_object))
+        return ObjectStore(
+            put=guard_store_call(self._put_object), get=guard_store_call(self._get_object)
+        )
 
     async def _request(self, method: str, path: str, content: bytes = b"") -> httpcore.Response:
         with anyio.fail_after(PLATFORM_TIMEOUT_S):
@@ -107,8 +109,8 @@
     return Err(StoreError(kind=StoreErrorKind.UNAVAILABLE, message=message))
 
 
-def _guarded(send: Callable[..., Awaitable[Result]]) -> Callable[..., Awaitable[Result]]:
-    """Turn every failure of the connection or the codec into an error of the store."""
+def guard_store_call(send: Callable[..., Awaitable[Result]]) -> Callable[..., Awaitable[Result]]:
+    """Turn every failure of the connection or the codec of a call into an error of the store."""
 
     async def call(*args: object) -> Result:
         try:
@@ -119,6 +121,7 @@
             httpcore.TimeoutException,
             TimeoutError,
             msgspec.MsgspecError,
+            ValueError,
         ) as error:
             message = f"the platform does not answer: {type(error).__name__}"
             return Err(StoreError(kind=StoreErrorKind.UNAVAILABLE, message=message))
