Stop runs that stand still, and learn a worker's speed from runs that go on

Cause: the list of runs tells how far each has come; a run that hung kept its room until its caller left, and a worker that turned slow was learned only from the tasks that it ended.

--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -437,10 +437,10 @@
             self._note_done(task)
             return
         self.counters.tasks_refused[outcome.name.lower()] += 1
+        if outcome is not OrderOutcome.NOT_STARTED and link is not None and link.report is not None:
+            task.failed_workers.add(link.report.worker)
         if outcome is OrderOutcome.FAILED:
             task.failures += 1
-            if link is not None and link.report is not None:
-                task.failed_workers.add(link.report.worker)
             if task.failures >= run.job.queue.max_attempts:
                 cause = f"task {task.ref.step}.{task.ref.index} failed {task.failures} times"
                 self._finish(run, WorkerJobAnswer(cause=cause))
--- a/persimmoncrank/coordination/execution/_worker_runner.py
+++ b/persimmoncrank/coordination/execution/_worker_runner.py
@@ -30,7 +30,13 @@
     WorkerFault,
     WorkerFaultKind,
 )
-from persimmoncrank.state import Run, RunLedger, RunState, WorkerHealth
+from persimmoncrank.state import (
+    MIN_PROGRESS_PERCENT,
+    Run,
+    RunLedger,
+    RunState,
+    WorkerHealth,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -336,10 +342,26 @@
         self._note_strangers(set(running))
         for run in list(self.ledger.active.values()):
             self._note_listed(run, running.get(run.ref), runs, sent_at_s=sent_at_s)
+        self._note_progress(now_s)
         if not was_ready:
             self._events.changed()
         self.start_queued()
 
+    def _note_progress(self, now_s: float) -> None:
+        """Learn the worker's speed from its runs, and stop those that stand still."""
+        ratios = []
+        for run in list(self.ledger.active.values()):
+            if run.state is not RunState.RUNNING or run.is_stopping:
+                continue
+            if run.last_percent >= MIN_PROGRESS_PERCENT:
+                ran_s = run.progressed_at_s - run.started_at_s
+                ratios.append(100 * ran_s / run.last_percent / max(run.order.nominal_s, 0.001))
+            limit_s = self.health.hang_limit_s(nominal_s=run.order.nominal_s)
+            if now_s - run.progressed_at_s > limit_s:
+                self.health.note_failed(job_id=run.order.ref.job_id, now_s=now_s)
+                self.stop(run, f"no progress for {limit_s:.2f} s")
+        self.health.note_progress(ratios)
+
     def _note_end(self, end: EndedRun) -> None:
         if end.cursor <= self._seen_cursor:
             return
--- a/persimmoncrank/standin/_worker.py
+++ b/persimmoncrank/standin/_worker.py
@@ -60,6 +60,7 @@
     ends_at_s: float
     fails: bool
     stops_at_s: float | None = None
+    percent: int = 0
 
 
 @dataclass(kw_only=True)
@@ -230,12 +231,23 @@
         answer = RunList(
             clock_ms=self.clock_ms,
             life=self.life,
-            running=tuple(RunningRun(run=run, percent=0) for run in self._running),
+            running=tuple(
+                RunningRun(run=run, percent=self._percent(running))
+                for run, running in self._running.items()
+            ),
             ended=tuple(self._ended),
         )
         await anyio.sleep(CALL_S)
         return Ok(answer)
 
+    def _percent(self, running: _Running) -> int:
+        """Return how far a run has come; it stands still while the worker hangs."""
+        if not self.faults.is_hanging:
+            done_s = anyio.current_time() - running.started_at_s
+            work_s = max(running.ends_at_s - running.started_at_s, TICK_S)
+            running.percent = min(int(100 * done_s / work_s), 99)
+        return running.percent
+
     def _extend_lease(self, until_ms: int) -> None:
         self._lease_until_ms = max(
             self._lease_until_ms, min(until_ms, self.clock_ms + MAX_LEASE_MS)
--- a/persimmoncrank/state/__init__.py
+++ b/persimmoncrank/state/__init__.py
@@ -54,10 +54,12 @@
         is_settled,
     )
     from persimmoncrank.state._worker_health import (
+        MIN_PROGRESS_PERCENT,
         WorkerHealth,
     )
 
 __all__ = [
+    "MIN_PROGRESS_PERCENT",
     "NEVER_S",
     "AgentCounters",
     "AgentView",
@@ -90,6 +92,7 @@
 ]
 
 _MODULES = {
+    "MIN_PROGRESS_PERCENT": "_worker_health",
     "LatencyHistogram": "_latency_histogram",
     "AgentCounters": "_counters",
     "AgentView": "_agent_views",
--- a/persimmoncrank/state/_worker_health.py
+++ b/persimmoncrank/state/_worker_health.py
@@ -4,14 +4,25 @@
 
 import logging
 import math
+import statistics
 from collections import deque
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
 
 log = logging.getLogger(__name__)
 
 SLOWNESS_WEIGHT = 0.1
 MIN_SLOWNESS = 0.2
 MAX_SLOWNESS = 20.0
+PROGRESS_WEIGHT = 0.3
+MIN_PROGRESS_PERCENT = 5  # below it the start itself weighs too much
+MIN_PROGRESS_RUNS = 3
+CLEAR_CHANGE = 1.5
+HANG_S = 0.6
+HANG_SHARE = 0.03  # three steps of a percent
 SUSPECT_FAILURES = 3
 SUSPECT_JOBS = 2
 FIRST_SUSPENSION_S = 0.5
@@ -51,6 +62,22 @@
         log_slowness += SLOWNESS_WEIGHT * (math.log(ratio) - log_slowness)
         self.slowness = math.exp(log_slowness)
 
+    def note_progress(self, ratios: Sequence[float]) -> None:
+        """Learn from runs that go on: their projected times relative to a worker of speed 1.
+
+        Only a clear change counts, since a projection is as uncertain as the expected time.
+        """
+        if len(ratios) < MIN_PROGRESS_RUNS:
+            return
+        ratio = min(max(statistics.median(ratios), MIN_SLOWNESS), MAX_SLOWNESS)
+        if not self.slowness / CLEAR_CHANGE < ratio < self.slowness * CLEAR_CHANGE:
+            change = math.log(ratio) - math.log(self.slowness)
+            self.slowness *= math.exp(PROGRESS_WEIGHT * change)
+
+    def hang_limit_s(self, *, nominal_s: float) -> float:
+        """Return how long a run of this expected time may show no progress."""
+        return max(HANG_S, HANG_SHARE * nominal_s * self.slowness)
+
     def note_failed(self, *, job_id: str, now_s: float) -> bool:
         """Learn from a run that failed or hung; return True if the worker becomes suspect."""
         self._failed_jobs.append(job_id)
--- a/persimmoncrank/tests/test_worker_runner.py
+++ b/persimmoncrank/tests/test_worker_runner.py
@@ -247,3 +247,31 @@
         assert len(scene.worker.history) == 2
 
     play(scene)
+
+
+def test_a_run_that_stands_still_is_stopped() -> None:
+    async def scene(group: TaskGroup) -> None:
+        scene = Scene(run_s=2.0)
+        runner = await scene.start(group)
+        runner.submit(make_run(1))
+        await anyio.sleep(0.5)
+        scene.worker.faults.is_hanging = True
+        await anyio.sleep(1.0)
+        assert scene.ends == [(1, OrderOutcome.STOPPED)]
+
+    play(scene)
+
+
+@pytest.mark.parametrize(("run_s", "least", "most"), [(3.0, 3.0, 20.0), (0.33, 0.8, 1.4)])
+def test_the_speed_of_a_worker_is_learned_from_runs_that_go_on(
+    run_s: float, least: float, most: float
+) -> None:
+    async def scene(group: TaskGroup) -> None:
+        scene = Scene(run_s=run_s)
+        runner = await scene.start(group)
+        for order_id in range(4):
+            runner.submit(make_run(order_id))
+        await anyio.sleep(1.5)
+        assert least <= runner.health.slowness <= most
+
+    play(scene)
