--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -10,7 +10,7 @@
 import anyio
 
 from persimmoncrank.coordination.dispatch._agent_link import AgentLink, OpenOrder
-from persimmoncrank.coordination.dispatch._worker_choice import choose_worker, is_eligible
+from persimmoncrank.coordination.dispatch._worker_choice import choose_worker, is_busy, is_eligible
 from persimmoncrank.coordination.dispatch._worker_jobs import (
     JobRun,
     JobTask,
@@ -252,16 +252,25 @@
             self._place()
 
     def _place(self) -> None:
-        """Place pending tasks in order until one finds no room."""
+        """Place pending tasks in order until one finds no room.
+
+        A task that waits for a faster worker does not hold up those behind it.
+        """
         links = list(self.links.values())
-        placed = 0
+        now_s = anyio.current_time()
+        busy = is_busy(links)
+        waiting: list[JobTask] = []
+        tried = 0
         for task in self.pending:
-            link = choose_worker(task, links, withdrawn=self.withdrawn)
-            if link is None:
+            choice = choose_worker(task, links, withdrawn=self.withdrawn, now_s=now_s, busy=busy)
+            if choice.link is not None:
+                self._order(task, choice.link)
+            elif choice.is_waiting:
+                waiting.append(task)
+            else:
                 break
-            self._order(task, link)
-            placed += 1
-        del self.pending[:placed]
+            tried += 1
+        self.pending[:tried] = waiting
 
     def _order(self, task: JobTask, link: AgentLink) -> None:
         job = task.job
@@ -478,6 +487,8 @@
                 self._check_link(link, now_s)
             for run in list(self.jobs.values()):
                 self._check_job(run, now_s)
+            if self.pending:
+                self._place()
 
     def _check_link(self, link: AgentLink, now_s: float) -> None:
         """Give up the orders of an agent out of reach once nothing of them can run."""
