Bind an order to the life of the worker that was chosen

A worker may start again as another service or kind before an order arrives; the agent now gives such an order back. The entry read seeds that it never used; that is gone.

--- a/persimmoncrank/commands/dispatch.py
+++ b/persimmoncrank/commands/dispatch.py
@@ -98,13 +98,11 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
-def run_dispatch_entry(
-    settings: DispatchEntrySettings, store: StorePorts, apps: EntryApps, read_seeds: ReadSeeds
-) -> None:
+def run_dispatch_entry(settings: DispatchEntrySettings, store: StorePorts, apps: EntryApps) -> None:
     """Run an entry until SIGTERM."""
 
     async def serve(stop: anyio.Event) -> None:
-        await serve_dispatch_entry(settings, store, apps, read_seeds, stop)
+        await serve_dispatch_entry(settings, store, apps, stop)
 
     _run(serve, settings)
 
@@ -113,7 +111,6 @@
     settings: DispatchEntrySettings,
     store: StorePorts,
     apps: EntryApps,
-    read_seeds: ReadSeeds,
     stop: anyio.Event,
 ) -> None:
     """Serve an entry until ``stop`` is set and its jobs have ended."""
--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -273,15 +273,14 @@
         self.pending[:tried] = waiting
 
     def _order(self, task: JobTask, link: AgentLink) -> None:
-        job = task.job
+        job, report = task.job, link.report
         now_s = anyio.current_time()
         order = TaskOrder(
             order_id=next(self._order_ids),
+            life=report.life if report else 0,
             ref=task.ref,
             payload=job.job.payload,
             demand=task.demand,
-            kind=task.step.image or job.job.queue.name,
-            service=job.job.queue.service,
             priority=job.job.queue.priority,
             rank=job.latest_start_s - now_s,
             nominal_s=task.nominal_s,
@@ -291,7 +290,6 @@
         task.order_id = order.order_id
         link.send_order(OpenOrder(task=task, order=order))
         self.counters.tasks_placed += 1
-        report = link.report
         log.info(
             "placement: task ordered job=%s task=%d.%d worker=%s slowness=%.2f free_cpu=%d",
             task.ref.job_id,
@@ -540,7 +538,7 @@
     def _has_workers(self, run: JobRun) -> bool:
         """Tell whether some worker in view may run each task that waits."""
         return all(
-            self.has_eligible_worker(task) for task in run.tasks if task.state is TaskState.PENDING
+            self._has_eligible_worker(task) for task in run.tasks if task.state is TaskState.PENDING
         )
 
     def _describe_shortage(self, run: JobRun) -> str:
@@ -551,7 +549,7 @@
             order.task.job is run for link in self.links.values() for order in link.orders.values()
         )
 
-    def has_eligible_worker(self, task: JobTask) -> bool:
+    def _has_eligible_worker(self, task: JobTask) -> bool:
         """Tell whether any worker in view may run a task."""
         return any(
             is_eligible(task, link, withdrawn=self.withdrawn) for link in self.links.values()
--- a/persimmoncrank/coordination/execution/_worker_agent.py
+++ b/persimmoncrank/coordination/execution/_worker_agent.py
@@ -196,11 +196,13 @@
         self._note_config(frame)
         now_s = anyio.current_time()
         for order in frame.starts:
-            run = Run(owner=session.incarnation, order=order, queued_at_s=now_s)
-            if self.runner is None or self.runner.is_over:
-                session.note_ended(order.order_id, OrderOutcome.NOT_STARTED, 0.0, "no worker")
+            runner = self.runner
+            if runner is None or runner.is_over or runner.worker.life != order.life:
+                cause = "the worker that was chosen is gone"
+                session.note_ended(order.order_id, OrderOutcome.NOT_STARTED, 0.0, cause)
             else:
-                self.runner.submit(run)
+                run = Run(owner=session.incarnation, order=order, queued_at_s=now_s)
+                runner.submit(run)
         if frame.stops and self.runner is not None:
             wanted = set(frame.stops)
             for run in self.runner.ledger.owned_by(session.incarnation):
--- a/persimmoncrank/protocol/_dispatch.py
+++ b/persimmoncrank/protocol/_dispatch.py
@@ -60,17 +60,18 @@
 class TaskOrder(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """An entry's order to run one task once.
 
-    ``order_id`` is unique within an entry's incarnation. ``nominal_s`` is the expected time on a
-    worker of speed 1. The order is void ``start_within_s`` after its arrival if it did not start.
+    ``order_id`` is unique within an entry's incarnation. ``life`` is the life of the worker that
+    was chosen; another one may be of another service or kind. ``nominal_s`` is the expected time
+    on a worker of speed 1. The order is void ``start_within_s`` after its arrival if it did not
+    start.
     ``rank`` orders waiting tasks of one priority: the least slack first.
     """
 
     order_id: int
+    life: int
     ref: TaskRef
     payload: str
     demand: Demand
-    kind: str
-    service: str
     priority: int
     rank: float
     nominal_s: float
--- a/persimmoncrank/tests/test_dispatcher.py
+++ b/persimmoncrank/tests/test_dispatcher.py
@@ -9,7 +9,14 @@
 import pytest
 
 from persimmoncrank.bench._network import run_virtual
-from persimmoncrank.protocol import ErrorKind, QueueTable
+from persimmoncrank.protocol import (
+    Demand,
+    EntryFrame,
+    ErrorKind,
+    QueueTable,
+    TaskOrder,
+    TaskRef,
+)
 from persimmoncrank.tests.worker_invariants import check_all
 from persimmoncrank.tests.worker_world import QUEUE, WorkerWorld, make_worker_job
 
@@ -121,3 +128,27 @@
         assert all(run.ended_at_s is not None for run in runs)
 
     play(scene)
+
+
+@pytest.mark.parametrize(("life", "runs"), [(1, 1), (2, 0)], ids=["same life", "another life"])
+def test_an_order_starts_only_on_the_life_that_was_chosen(life: int, runs: int) -> None:
+    async def scene(world: WorkerWorld) -> None:
+        agent = world.agents["a0"].node
+        (session,) = agent.links.sessions.values()
+        order = TaskOrder(
+            order_id=77,
+            life=life,
+            ref=TaskRef(job_id="4" * 16, step=0, index=0),
+            payload="spec",
+            demand=Demand(cpu_millis=100),
+            priority=0,
+            rank=0.0,
+            nominal_s=0.1,
+            start_within_s=5.0,
+        )
+        world.demands[f"{order.ref.job_id}.0"] = order.demand
+        agent._on_frame(session, EntryFrame(entry=session.incarnation, starts=(order,)))
+        await anyio.sleep(0.1)
+        assert len(world.workers["a0"].history) == runs
+
+    play(scene, entries=1, agents=1)
--- a/persimmoncrank/tests/test_worker_runner.py
+++ b/persimmoncrank/tests/test_worker_runner.py
@@ -71,11 +71,10 @@
     """Return a queued run of a task of its own."""
     order = TaskOrder(
         order_id=order_id,
+        life=1,
         ref=TaskRef(job_id=f"job{order_id}", step=0, index=0),
         payload="spec",
         demand=Demand(cpu_millis=cpu_millis),
-        kind="k",
-        service="svc",
         priority=priority,
         rank=0.0,
         nominal_s=0.3,
