--- a/persimmoncrank/commands/dispatch.py
+++ b/persimmoncrank/commands/dispatch.py
@@ -126,7 +126,7 @@
     )
 
     def set_entries(entries: tuple[EntryAddress, ...]) -> None:
-        dispatcher.set_entries((*entries, entry))
+        dispatcher.streams.set_entries((*entries, entry))
 
     async def register() -> None:
         await register_entry(table=store.table, name=settings.name, entry=entry)
@@ -144,7 +144,7 @@
         serve_streams(
             address=settings.stream_address,
             message_type=AgentFrame,
-            serve=dispatcher.serve_agent,
+            serve=dispatcher.streams.serve,
         ),
         serve_http(apps.front(dispatcher), settings.front_address),
         serve_http(apps.ready(dispatcher), settings.ready_address),
--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -4,12 +4,12 @@
 
 import itertools
 import logging
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import anyio
 
 from persimmoncrank.coordination.dispatch._agent_link import AgentLink, OpenOrder
+from persimmoncrank.coordination.dispatch._agent_streams import AgentStreams, DispatchTimes
 from persimmoncrank.coordination.dispatch._worker_choice import choose_worker, is_busy, is_eligible
 from persimmoncrank.coordination.dispatch._worker_jobs import (
     JobRun,
@@ -18,16 +18,11 @@
     longest_chain_s,
 )
 from persimmoncrank.protocol import (
-    AgentFrame,
     EntryAddress,
-    EntryFrame,
     ErrorKind,
-    MessageStream,
-    OrderEnd,
     OrderOutcome,
     QueueTable,
     ServiceError,
-    StreamClosedError,
     TaskOrder,
     TaskRef,
     WorkerJob,
@@ -48,26 +43,12 @@
 NO_WORKER_WAIT_SHARE = 0.25  # of the objective: an agent whose stream broke is back within that
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class DispatchTimes:
-    """The leases of entries at agents and of agents at workers."""
-
-    entry_lease_s: float
-    worker_lease_s: float
-
-    @property
-    def orders_lost_after_s(self) -> float:
-        """How long after the last renewal nothing runs any more at an agent out of reach."""
-        return self.entry_lease_s + self.worker_lease_s * SLOWEST_CLOCK + STOP_MARGIN_S
-
-
 class Dispatcher:
     """Coordinates the jobs that arrive at one entry."""
 
     def __init__(self, *, entry: EntryAddress, times: DispatchTimes) -> None:
         """Create a dispatcher that knows no agent and no queue."""
         self.entry = entry
-        self.links: dict[str, AgentLink] = {}
         self.jobs: dict[str, JobRun] = {}
         self.pending: list[JobTask] = []
         self.queues = QueueTable()
@@ -75,9 +56,10 @@
         self.config_version = -1
         self.is_leaving = False
         self.is_closed = False
-        self._times = times
-        self._entries: dict[str, EntryAddress] = {}
-        self._entries_version = 0
+        self.streams = AgentStreams(
+            entry=entry, times=times, end_order=self._end_order, on_news=self._note_news
+        )
+        self.links = self.streams.links
         self.counters = EntryCounters()
         self.job_times = LatencyHistogram()
         self._durations = Durations()
@@ -106,19 +88,7 @@
             len(queues.queues),
             ",".join(sorted(self.withdrawn)) or "none",
         )
-        self._wake_links()
-
-    def set_entries(self, entries: Iterable[EntryAddress]) -> None:
-        """Tell agents about the other entries."""
-        known = {entry.address: entry for entry in entries}
-        if known != self._entries:
-            self._entries = known
-            self._entries_version += 1
-            self._wake_links()
-
-    def _wake_links(self) -> None:
-        for link in self.links.values():
-            link.is_news.set()
+        self.streams.set_withdrawn(self.withdrawn, version)
 
     @property
     def is_ready(self) -> bool:
@@ -300,138 +270,14 @@
             link.free.cpu_millis,
         )
 
-    # Agents.
-
-    async def serve_agent(self, stream: MessageStream) -> None:
-        """Serve an agent's stream until it closes or is silent for a lease."""
-        await stream.send(self._first_frame())
-        frame: AgentFrame = await stream.receive()
-        if frame.hello is None:
-            log.warning("entry: stream without a hello closed")
-            return
-        link = self.links.get(frame.hello.incarnation)
-        if link is None:
-            link = self.links[frame.hello.incarnation] = AgentLink(hello=frame.hello)
-        elif link.close_stream is not None:
-            link.close_stream.cancel()
-            self._drop_stream(link)
-        for order in link.open_stream(frame.hello):
-            self._end_order(order, OrderOutcome.LOST, "the agent does not hold it")
-        log.info(
-            "entry: stream of agent open agent=%s domain=%s",
-            frame.hello.incarnation,
-            frame.hello.domain,
-        )
-        with anyio.CancelScope() as scope:
-            link.close_stream = scope
-            await self._exchange(link, stream)
-        if link.close_stream is scope:
-            self._drop_stream(link)
-
-    def _first_frame(self) -> EntryFrame:
-        return EntryFrame(
-            entry=self.entry.incarnation,
-            config_version=self.config_version,
-            withdrawn=tuple(self.withdrawn) if self.config_version >= 0 else None,
-            entries=tuple(self._entries.values()),
-        )
-
-    def _drop_stream(self, link: AgentLink) -> None:
-        for order in link.drop_stream():
-            self._end_order(order, OrderOutcome.NOT_STARTED, "it was never sent")
-        log.warning(
-            "entry: stream of agent lost agent=%s open_orders=%d",
-            link.hello.incarnation,
-            len(link.orders),
-        )
-
-    async def _exchange(self, link: AgentLink, stream: MessageStream) -> None:
-        async with anyio.create_task_group() as group:
-            group.start_soon(self._send_frames, link, stream)
-            while True:
-                try:
-                    with anyio.fail_after(self._times.entry_lease_s):
-                        frame = await stream.receive()
-                except (StreamClosedError, TimeoutError) as error:
-                    log.info(
-                        "entry: stream ends agent=%s cause=%s",
-                        link.hello.incarnation,
-                        str(error) or "silent",
-                    )
-                    break
-                self._note_frame(link, frame)
-            group.cancel_scope.cancel()
-
-    async def _send_frames(self, link: AgentLink, stream: MessageStream) -> None:
-        while True:
-            now_s = anyio.current_time()
-            frame = link.next_frame(self.entry.incarnation, now_s=now_s)
-            frame = self._with_config(link, frame)
-            if frame is not None:
-                try:
-                    await stream.send(frame)
-                except StreamClosedError as error:
-                    log.debug("entry: frame not sent cause=%s", error)
-                    return
-            await link.is_news.wait()
-
-    def _with_config(self, link: AgentLink, frame: EntryFrame | None) -> EntryFrame | None:
-        """Add the configuration and the entries to a frame if the agent has older ones."""
-        is_config_new = link.sent_config_version != self.config_version
-        is_entries_new = link.sent_entries != self._entries_version
-        if not (is_config_new or is_entries_new):
-            return frame
-        link.sent_config_version = self.config_version
-        link.sent_entries = self._entries_version
-        base = frame or EntryFrame(entry=self.entry.incarnation, seen_event=link.seen_event)
-        first = self._first_frame()
-        return EntryFrame(
-            entry=base.entry,
-            challenge=base.challenge,
-            starts=base.starts,
-            stops=base.stops,
-            seen_event=base.seen_event,
-            config_version=first.config_version,
-            withdrawn=first.withdrawn,
-            entries=first.entries,
-        )
+    # Ends.
 
-    def _note_frame(self, link: AgentLink, frame: AgentFrame) -> None:
-        link.note_challenge(frame.challenge)
-        for order_id in frame.started:
-            order = link.orders.get(order_id)
-            if order is not None:
-                order.has_started = True
-                order.task.job.may_have_started = True
-        for end in frame.ended:
-            self._note_end(link, end)
-        if frame.report is not None:
-            link.note_report(frame.report)
-            if frame.report.is_accepting:
-                self._lose_earlier_incarnations(link)
+    def _note_news(self) -> None:
         if self.pending:
             self._place_wanted.set()
 
-    def _lose_earlier_incarnations(self, link: AgentLink) -> None:
-        """Give up the orders of an agent's earlier processes.
-
-        The present one takes orders only after it saw the runs of earlier ones end.
-        """
-        for other in list(self.links.values()):
-            is_same_agent = other.hello.agent == link.hello.agent
-            if is_same_agent and other is not link and not other.is_connected:
-                self._lose_link(other, "the agent started again")
-
-    def _note_end(self, link: AgentLink, end: OrderEnd) -> None:
-        if end.event_id <= link.seen_event:
-            return
-        link.seen_event = end.event_id
-        order = link.orders.pop(end.order_id, None)
-        if order is not None:
-            self._end_order(order, end.outcome, end.cause, link)
-
     def _end_order(
-        self, order: OpenOrder, outcome: OrderOutcome, cause: str, link: AgentLink | None = None
+        self, order: OpenOrder, outcome: OrderOutcome, cause: str, link: AgentLink | None
     ) -> None:
         """Take note of an order's end and decide what becomes of its task."""
         task, run = order.task, order.task.job
@@ -481,32 +327,12 @@
         while True:
             await anyio.sleep(WATCH_INTERVAL_S)
             now_s = anyio.current_time()
-            for link in list(self.links.values()):
-                self._check_link(link, now_s)
+            self.streams.check(now_s)
             for run in list(self.jobs.values()):
                 self._check_job(run, now_s)
             if self.pending:
                 self._place()
 
-    def _check_link(self, link: AgentLink, now_s: float) -> None:
-        """Give up the orders of an agent out of reach once nothing of them can run."""
-        if link.is_connected:
-            return
-        if now_s < link.granted_at_s + self._times.orders_lost_after_s:
-            return
-        self._lose_link(link, "the agent is out of reach")
-
-    def _lose_link(self, link: AgentLink, cause: str) -> None:
-        log.warning(
-            "entry: agent lost agent=%s open_orders=%d cause=%s",
-            link.hello.incarnation,
-            len(link.orders),
-            cause,
-        )
-        del self.links[link.hello.incarnation]
-        for order in list(link.orders.values()):
-            self._end_order(order, OrderOutcome.LOST, cause)
-
     def _check_job(self, run: JobRun, now_s: float) -> None:
         """Give up a job that has not started and could not be of use any more.
 
--- a/persimmoncrank/tests/test_worker_mutations.py
+++ b/persimmoncrank/tests/test_worker_mutations.py
@@ -8,7 +8,7 @@
 import pytest
 
 from persimmoncrank.bench._network import run_virtual
-from persimmoncrank.coordination.dispatch._dispatcher import DispatchTimes
+from persimmoncrank.coordination.dispatch import DispatchTimes
 from persimmoncrank.coordination.execution._entry_links import EntryLinks
 from persimmoncrank.coordination.execution._worker_runner import WorkerRunner
 from persimmoncrank.state import RunLedger
--- a/persimmoncrank/tests/worker_world.py
+++ b/persimmoncrank/tests/worker_world.py
@@ -208,7 +208,7 @@
             with scope:
                 async with anyio.create_task_group() as group:
                     self.network.groups[name] = group
-                    self.network.serve[name] = dispatcher.serve_agent
+                    self.network.serve[name] = dispatcher.streams.serve
                     await dispatcher.run()
             self.network.reset(name)
 
