--- a/persimmoncrank/transport/_metrics.py
+++ b/persimmoncrank/transport/_metrics.py
@@ -14,7 +14,6 @@
     from persimmoncrank.coordination import AgentNode, EntryNode
     from persimmoncrank.coordination.dispatch import Dispatcher
     from persimmoncrank.coordination.execution import WorkerAgent
-    from persimmoncrank.state import LatencyHistogram
     from persimmoncrank.transport._rpc_client import RpcClient
 
 log = logging.getLogger(__name__)
@@ -51,12 +50,11 @@
         for value, count in values.items():
             self.counter(name, doc, count, **{label: value})
 
-    def histogram(self, name: str, doc: str, times: LatencyHistogram) -> None:
-        """Set the buckets, the sum and the count of a histogram."""
-        buckets = times.cumulative()
+    def histogram(self, name: str, doc: str, buckets: Mapping[str, int], total: float) -> None:
+        """Set the cumulative buckets, the sum and the count of a histogram."""
         for bound, count in buckets.items():
             self.counter(f"{name}_bucket", doc, count, le=bound)
-        self.counter(f"{name}_sum", doc, times.sum_s)
+        self.counter(f"{name}_sum", doc, total)
         self.counter(f"{name}_count", doc, buckets["+Inf"])
 
     def render(self, accepts: list[str]) -> tuple[bytes, dict[str, str]]:
@@ -133,7 +131,10 @@
         metrics.counters(
             "orders_ended_total", "Orders ended otherwise", "outcome", counters.tasks_refused
         )
-        metrics.histogram("job_seconds", "Time from arrival to answer", dispatcher.job_times)
+        times = dispatcher.job_times
+        metrics.histogram(
+            "job_seconds", "Time from arrival to answer", times.cumulative(), times.sum_s
+        )
         metrics.gauge("jobs_running", "Jobs running now", len(dispatcher.jobs))
         metrics.gauge("tasks_pending", "Tasks waiting for room", len(dispatcher.pending))
         metrics.gauge("config_version", "Version held", dispatcher.config_version)
@@ -149,8 +150,13 @@
     def collect(metrics: Metrics) -> None:
         metrics.counter("tasks_started_total", "Tasks started", agent.counters.tasks_started)
         metrics.counters("tasks_ended_total", "Orders ended", "outcome", agent.counters.tasks_ended)
-        metrics.histogram("task_wait_seconds", "Time from order to start", agent.wait_times)
-        metrics.histogram("task_run_seconds", "Time of tasks that ended well", agent.run_times)
+        waits, runs = agent.wait_times, agent.run_times
+        metrics.histogram(
+            "task_wait_seconds", "Time from order to start", waits.cumulative(), waits.sum_s
+        )
+        metrics.histogram(
+            "task_run_seconds", "Time of tasks that ended well", runs.cumulative(), runs.sum_s
+        )
         runner = agent.runner
         if runner is not None:
             metrics.gauge("tasks_running", "Runs on the worker", len(runner.ledger.active))
