--- a/persimmoncrank/cli.py
+++ b/persimmoncrank/cli.py
@@ -14,6 +14,7 @@
 log = logging.getLogger(__name__)
 
 EXIT_FAILED = 1
+ROLES = ("entry", "agent", "dispatch-entry", "dispatch-agent")
 EXIT_USAGE = 2
 
 HELP_MAIN = "A dispatcher for sub-second tasks."
@@ -162,13 +163,19 @@
 
 
 @cli.command("check-config", help=HELP_CHECK)
-@click.argument("role", type=click.Choice(["entry", "agent"]))
+@click.argument("role", type=click.Choice(ROLES))
 @click.argument("settings_file", type=SETTINGS_FILE)
 def check_config(role: str, settings_file: Path) -> None:
     """Check a settings file."""
-    from persimmoncrank.settings import AgentSettings, EntrySettings
+    from persimmoncrank import settings
 
-    _settings(settings_file, EntrySettings if role == "entry" else AgentSettings)
+    schemas = (
+        settings.EntrySettings,
+        settings.AgentSettings,
+        settings.DispatchEntrySettings,
+        settings.DispatchAgentSettings,
+    )
+    _settings(settings_file, dict(zip(ROLES, schemas, strict=True))[role])
     click.echo(f"{settings_file}: ok")
 
 
--- a/persimmoncrank/coordination/dispatch/_agent_streams.py
+++ b/persimmoncrank/coordination/dispatch/_agent_streams.py
@@ -87,8 +87,10 @@
     async def serve(self, stream: MessageStream) -> None:
         """Serve an agent's stream until it closes or is silent for a lease."""
         await stream.send(self._first_frame())
-        frame: AgentFrame = await stream.receive()
-        if frame.hello is None:
+        frame: AgentFrame | None = None
+        with anyio.move_on_after(self._times.entry_lease_s):
+            frame = await stream.receive()
+        if frame is None or frame.hello is None:
             log.warning("entry: stream without a hello closed")
             return
         link = self.links.get(frame.hello.incarnation)
--- a/persimmoncrank/tests/test_settings.py
+++ b/persimmoncrank/tests/test_settings.py
@@ -6,7 +6,14 @@
 
 import pytest
 
-from persimmoncrank.settings import AgentSettings, EntrySettings, parse_settings
+from persimmoncrank.settings import (
+    AgentSettings,
+    DispatchAgentSettings,
+    DispatchEntrySettings,
+    EntrySettings,
+    parse_settings,
+    stream_seeds,
+)
 
 if TYPE_CHECKING:
     from syrupy.assertion import SnapshotAssertion
@@ -35,6 +42,11 @@
         'max_connections = "many"\nlog_level = "loud"\n',
         EntrySettings,
     ),
+    "unknown keys beside faults": ("nonsense_key = 3\nnam = 'e1'\n", EntrySettings),
+    "dispatching agent": (
+        'name = "a1"\nseed_stream_port = 70000\nseeds = ["10.1.0.13"]\nresend_s = -1\n',
+        DispatchAgentSettings,
+    ),
     "agent faults": (
         GOOD_AGENT.replace('["127.0.0.1:9080"]', "[]").replace('["walker-check-in"]', '"x"')
         + "slots = -1\nprocessors = true\n",
@@ -60,3 +72,13 @@
 def test_unknown_key_is_named_with_the_nearest(line: str, warning: str) -> None:
     loaded = parse_settings(GOOD_AGENT + line, AgentSettings).unwrap()
     assert loaded.warnings == (warning,)
+
+
+def test_seeds_serve_their_streams_at_the_stream_port() -> None:
+    text = (
+        'name = "e1"\ndomain = "z"\ncontrol_address = "h:1"\nstore_address = "h:2"\n'
+        'metrics_address = "h:3"\nfront_address = "h:4"\nready_address = "h:5"\n'
+        'stream_address = "h:6"\nseed_stream_port = 7720\nseeds = ["10.1.0.13:8166"]\n'
+    )
+    settings = parse_settings(text, DispatchEntrySettings).unwrap().settings
+    assert stream_seeds(settings) == ("10.1.0.13:7720",)
--- /dev/null
+++ b/persimmoncrank/tests/test_table_follower.py
@@ -0,0 +1,108 @@
+"""Tests of the follower of a table, and of the directory of entries."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import pytest
+from result import Err, Ok
+
+from persimmoncrank.bench._network import run_virtual
+from persimmoncrank.coordination.configuration import TableFollower
+from persimmoncrank.coordination.dispatch import follow_directory, register_entry
+from persimmoncrank.protocol import (
+    Committed,
+    EntryAddress,
+    Row,
+    RowChanges,
+    Rows,
+    StoreError,
+    StoreErrorKind,
+    TableFeed,
+    TableService,
+    encode_message,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+DOWN = Err(StoreError(kind=StoreErrorKind.UNAVAILABLE, message="down"))
+GONE = Err(StoreError(kind=StoreErrorKind.HISTORY_GONE, message="gone"))
+
+
+def changes(version: int, *keys: str, removed: tuple[str, ...] = ()) -> Ok[RowChanges]:
+    """Return an answer of the store."""
+    rows = tuple(Row(key=key, version=version, value=b"v") for key in keys)
+    return Ok(RowChanges(rows=rows, removed=removed, version=version))
+
+
+CASES: dict[str, tuple[list[Any], list[Any], list[tuple[int, set[str]]]]] = {
+    "changes": ([changes(3, "a")], [changes(5, "b", removed=("a",))], [(3, {"a"}), (5, {"b"})]),
+    "no change is not told": ([changes(3, "a")], [changes(4)], [(3, {"a"})]),
+    "an outage": (
+        [DOWN, DOWN, changes(3, "a")],
+        [DOWN, changes(4, "b")],
+        [(3, {"a"}), (4, {"a", "b"})],
+    ),
+    "lost history": ([changes(3, "a"), changes(9, "c")], [GONE], [(3, {"a"}), (9, {"c"})]),
+}
+
+
+@pytest.mark.parametrize(("reads", "watches", "expected"), CASES.values(), ids=CASES)
+def test_a_table_is_followed(
+    reads: list[Any], watches: list[Any], expected: list[tuple[int, set[str]]]
+) -> None:
+    told: list[tuple[int, set[str]]] = []
+
+    def note(rows: Mapping[str, bytes], version: int) -> None:
+        told.append((version, set(rows)))
+
+    async def answer(answers: list[Any]) -> Any:
+        await anyio.sleep(0.01)
+        if not answers:
+            await anyio.sleep_forever()
+        return answers.pop(0)
+
+    async def read(_table: str) -> Any:
+        return await answer(reads)
+
+    async def watch(_table: str, _after: int, _wait_s: float) -> Any:
+        return await answer(watches)
+
+    async def main() -> None:
+        follower = TableFollower(table="t", feed=TableFeed(read=read, watch=watch), on_change=note)
+        with anyio.move_on_after(5):
+            await follower.run()
+
+    run_virtual(main)
+    assert told == expected
+
+
+def test_an_entry_is_registered_after_an_outage_and_found_beside_bad_rows() -> None:
+    entry = EntryAddress(incarnation="e-1", address="h:1")
+    written: list[Any] = []
+    found: list[tuple[EntryAddress, ...]] = []
+    answers: list[Any] = [DOWN, Ok(Committed(version=1))]
+
+    async def transact(transaction: Any) -> Any:
+        written.append(transaction.writes[0])
+        return answers.pop(0)
+
+    async def scan(_prefix: str, _since: int) -> Any:
+        rows = (written[-1].value, b"\xc1")
+        return Ok(Rows(rows=tuple(Row(key="k", version=1, value=value) for value in rows)))
+
+    async def get(_key: str) -> Any:
+        return Ok(None)
+
+    async def main() -> None:
+        table = TableService(get=get, transact=transact, scan=scan)
+        await register_entry(table=table, name="e", entry=entry)
+        with anyio.move_on_after(1):
+            await follow_directory(table=table, on_entries=found.append)
+
+    run_virtual(main)
+    assert [write.key for write in written] == ["entries/e"] * 2
+    assert written[-1].value == encode_message(entry)
+    assert found == [(entry,)]
--- /dev/null
+++ b/persimmoncrank/tests/test_worker_health.py
@@ -0,0 +1,74 @@
+"""Tests of what is learned about a worker, and of expected times."""
+
+from __future__ import annotations
+
+import pytest
+
+from persimmoncrank.state import Durations, LatencyHistogram, WorkerHealth
+
+
+@pytest.mark.parametrize(
+    ("jobs", "is_suspect"),
+    [
+        (["a", "b"], False),
+        (["a", "a", "a", "a"], False),
+        (["a", "b", "a"], True),
+        (["a", "b", None, "c"], False),
+    ],
+    ids=["two", "one job only", "several jobs", "a success between"],
+)
+def test_failures_of_several_jobs_in_a_row_make_a_worker_suspect(
+    jobs: list[str | None], is_suspect: bool
+) -> None:
+    health = WorkerHealth()
+    for job in jobs:
+        if job is None:
+            health.note_done(run_s=1.0, nominal_s=1.0)
+        else:
+            health.note_failed(job_id=job, now_s=0.0)
+    assert health.is_suspect is is_suspect
+
+
+def test_a_suspect_worker_gets_one_probe_after_growing_intervals() -> None:
+    health = WorkerHealth()
+    for job in "abc":
+        health.note_failed(job_id=job, now_s=0.0)
+    assert not health.may_start(now_s=0.4, active=0)
+    assert health.may_start(now_s=0.6, active=0)
+    assert not health.may_start(now_s=0.6, active=1)
+    health.note_failed(job_id="d", now_s=0.6)
+    assert not health.may_start(now_s=1.5, active=0)
+    assert health.may_start(now_s=1.7, active=0)
+    health.note_done(run_s=1.0, nominal_s=1.0)
+    assert health.may_start(now_s=1.7, active=5)
+
+
+@pytest.mark.parametrize(
+    ("ratios", "least", "most"),
+    [([7.0, 7.0], 1.0, 1.0), ([7.0, 7.0, 7.0], 4.6, 7.1), ([1.3, 1.2, 1.4], 1.0, 1.0)],
+    ids=["too few", "clearly slow", "within the noise"],
+)
+def test_progress_changes_the_speed_only_if_it_says_so_clearly(
+    ratios: list[float], least: float, most: float
+) -> None:
+    health = WorkerHealth()
+    for _ in range(20):
+        health.note_progress(ratios)
+    assert least <= health.slowness <= most
+
+
+def test_an_estimate_that_is_off_is_drawn_to_the_mean_of_its_kind() -> None:
+    durations = Durations()
+    for _ in range(200):
+        durations.nominal_s(kind="k", estimate_s=0.1)
+    assert durations.nominal_s(kind="k", estimate_s=0.4) == pytest.approx(0.2, rel=0.1)
+    assert durations.nominal_s(kind="other", estimate_s=0.4) == pytest.approx(0.4)
+
+
+def test_buckets_are_cumulative() -> None:
+    times = LatencyHistogram()
+    for time_s in (0.005, 0.2, 0.2, 99.0):
+        times.observe(time_s)
+    buckets = times.cumulative()
+    assert (buckets["0.01"], buckets["0.25"], buckets["10.0"], buckets["+Inf"]) == (1, 3, 3, 4)
+    assert times.sum_s == pytest.approx(99.405)
--- a/persimmoncrank/transport/_streams.py
+++ b/persimmoncrank/transport/_streams.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any
 
 import anyio
+import msgspec
 from anyio.streams.buffered import BufferedByteReceiveStream
 
 from persimmoncrank.protocol import (
@@ -47,6 +48,8 @@
             if length > MAX_MESSAGE_BYTES:
                 raise StreamClosedError(f"a message of {length} bytes is too large")
             return decode_message(await buffered.receive_exactly(length), message_type)
+        except msgspec.MsgspecError as error:
+            raise StreamClosedError(f"a message is not readable: {error}") from error
         except (*_CLOSED, anyio.ClosedResourceError) as error:
             raise StreamClosedError(type(error).__name__) from error
 
