--- a/persimmoncrank/bench/__init__.py
+++ b/persimmoncrank/bench/__init__.py
@@ -2,13 +2,45 @@
 
 from __future__ import annotations
 
-from persimmoncrank.bench._baselines import POLICIES
-from persimmoncrank.bench._history import Answered, History, Restriction, Start
-from persimmoncrank.bench._live import LiveReport, LiveSettings, run_live
-from persimmoncrank.bench._network import Network, NetworkFaults, Process, run_virtual
-from persimmoncrank.bench._policy import FAULTS, PolicyReport, PolicySettings, run_policy
-from persimmoncrank.bench._workload import PROFILES
-from persimmoncrank.bench._world import AgentOptions, World, settle
+from typing import TYPE_CHECKING
+
+from persimmoncrank._lazy import lazy_exports
+
+if TYPE_CHECKING:
+    from persimmoncrank.bench._baselines import (
+        POLICIES,
+    )
+    from persimmoncrank.bench._history import (
+        Answered,
+        History,
+        Restriction,
+        Start,
+    )
+    from persimmoncrank.bench._live import (
+        LiveReport,
+        LiveSettings,
+        run_live,
+    )
+    from persimmoncrank.bench._network import (
+        Network,
+        NetworkFaults,
+        Process,
+        run_virtual,
+    )
+    from persimmoncrank.bench._policy import (
+        FAULTS,
+        PolicyReport,
+        PolicySettings,
+        run_policy,
+    )
+    from persimmoncrank.bench._workload import (
+        PROFILES,
+    )
+    from persimmoncrank.bench._world import (
+        AgentOptions,
+        World,
+        settle,
+    )
 
 __all__ = [
     "FAULTS",
@@ -32,3 +64,28 @@
     "run_virtual",
     "settle",
 ]
+
+_MODULES = {
+    "AgentOptions": "_world",
+    "Answered": "_history",
+    "FAULTS": "_policy",
+    "History": "_history",
+    "LiveReport": "_live",
+    "LiveSettings": "_live",
+    "Network": "_network",
+    "NetworkFaults": "_network",
+    "POLICIES": "_baselines",
+    "PROFILES": "_workload",
+    "PolicyReport": "_policy",
+    "PolicySettings": "_policy",
+    "Process": "_network",
+    "Restriction": "_history",
+    "Start": "_history",
+    "World": "_world",
+    "run_live": "_live",
+    "run_policy": "_policy",
+    "run_virtual": "_network",
+    "settle": "_world",
+}
+
+__getattr__ = lazy_exports(__name__, _MODULES)
--- a/persimmoncrank/cli.py
+++ b/persimmoncrank/cli.py
@@ -327,7 +327,10 @@
 @json_option
 def bench_policy(is_json: bool, baselines: bool, faults: str, profile: str, **options: Any) -> None:
     """Measure the policy."""
-    from persimmoncrank.bench import FAULTS, PROFILES, PolicySettings
+    try:
+        from persimmoncrank.bench import FAULTS, PROFILES, PolicySettings
+    except ModuleNotFoundError as error:
+        fail(f"no module {error.name!r}; install persimmoncrank[bench]", EXIT_USAGE)
     from persimmoncrank.commands import bench as command
 
     named = tuple(name for name in faults.split(",") if name)
