--- a/persimmoncrank/coordination/execution/_worker_runner.py
+++ b/persimmoncrank/coordination/execution/_worker_runner.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import logging
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -349,13 +350,14 @@
 
     def _note_progress(self, now_s: float) -> None:
         """Learn the worker's speed from its runs, and stop those that stand still."""
-        ratios = []
+        ratios: defaultdict[str, list[float]] = defaultdict(list)
         for run in list(self.ledger.active.values()):
             if run.state is not RunState.RUNNING or run.is_stopping:
                 continue
             if run.last_percent >= MIN_PROGRESS_PERCENT:
                 ran_s = run.progressed_at_s - run.started_at_s
-                ratios.append(100 * ran_s / run.last_percent / max(run.order.nominal_s, 0.001))
+                ratio = 100 * ran_s / run.last_percent / max(run.order.nominal_s, 0.001)
+                ratios[run.order.ref.job_id].append(ratio)
             limit_s = self.health.hang_limit_s(nominal_s=run.order.nominal_s)
             if now_s - run.progressed_at_s > limit_s:
                 self.health.note_failed(job_id=run.order.ref.job_id, now_s=now_s)
