--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -36,8 +36,6 @@
 
 log = logging.getLogger(__name__)
 
-SLOWEST_CLOCK = 1.02  # a worker's clock may be 2% slow
-STOP_MARGIN_S = 0.1
 WATCH_INTERVAL_S = 0.05
 RETRY_AFTER_MS = 1_000
 NO_WORKER_WAIT_SHARE = 0.25  # of the objective: an agent whose stream broke is back within that
