--- a/persimmoncrank/commands/_roles.py
+++ b/persimmoncrank/commands/_roles.py
@@ -10,6 +10,7 @@
 
 import anyio
 
+from persimmoncrank.commands._incarnations import new_incarnation
 from persimmoncrank.coordination import (
     AgentLimits,
     AgentNode,
@@ -17,7 +18,7 @@
     EntryPorts,
     JobLimits,
 )
-from persimmoncrank.protocol import AgentInfo, EntryInfo, make_incarnation
+from persimmoncrank.protocol import AgentInfo, EntryInfo
 from persimmoncrank.transport import (
     ApiLimits,
     BackendClient,
@@ -38,18 +39,12 @@
 
 log = logging.getLogger(__name__)
 
-INCARNATION_BITS = 32
-
 
 def unix_ms() -> int:
     """Return the wall clock."""
     return time.time_ns() // 1_000_000
 
 
-def _new_incarnation(name: str) -> str:
-    return make_incarnation(name=name, nonce=random.SystemRandom().getrandbits(INCARNATION_BITS))
-
-
 async def serve_entry(settings: EntrySettings, stop: anyio.Event) -> None:
     """Serve an entry until stopped; after an expulsion go on as a new incarnation."""
     while await _serve_entry_incarnation(settings, stop):
@@ -83,7 +78,7 @@
 def _entry_node(settings: EntrySettings, platform: PlatformClient, client: RpcClient) -> EntryNode:
     return EntryNode(
         info=EntryInfo(
-            incarnation=_new_incarnation(settings.name),
+            incarnation=new_incarnation(settings.name),
             rpc_address=settings.rpc_address,
             domain=settings.domain,
         ),
@@ -128,7 +123,7 @@
 def _agent_node(settings: AgentSettings, backend: BackendClient, client: RpcClient) -> AgentNode:
     return AgentNode(
         info=AgentInfo(
-            incarnation=_new_incarnation(settings.name),
+            incarnation=new_incarnation(settings.name),
             backend=settings.backend,
             rpc_address=settings.rpc_address,
             domain=settings.domain,
--- a/persimmoncrank/commands/dispatch.py
+++ b/persimmoncrank/commands/dispatch.py
@@ -4,7 +4,6 @@
 
 import logging
 import os
-import random
 import signal
 import sys
 import time
@@ -14,6 +13,7 @@
 
 import anyio
 
+from persimmoncrank.commands._incarnations import new_incarnation
 from persimmoncrank.commands._log_output import BufferedLogHandler
 from persimmoncrank.commands._logs import set_up_logs
 from persimmoncrank.coordination.configuration import TableFollower
@@ -34,7 +34,6 @@
     TableService,
     WorkerHeartbeat,
     WorkerPort,
-    make_incarnation,
 )
 from persimmoncrank.transport import metrics_app, serve_http, serve_streams, stream_dialer
 
@@ -50,7 +49,6 @@
 GRACE_MARGIN_S = 0.5
 POLL_INTERVAL_S = 0.05
 SETTINGS_INTERVAL_S = 1.0
-INCARNATION_BITS = 32
 STDOUT = 1
 
 App = Callable[..., Awaitable[None]]
@@ -89,10 +87,6 @@
     return min(MAX_LEASE_S, LEASE_SHARE * resend_s, worker_lease_limit_s)
 
 
-def _incarnation(name: str) -> str:
-    return make_incarnation(name=name, nonce=random.SystemRandom().getrandbits(INCARNATION_BITS))
-
-
 def _boot_time_s() -> float:
     """Return the time since boot, which also counts while the machine is suspended."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
@@ -115,7 +109,9 @@
 ) -> None:
     """Serve an entry until ``stop`` is set and its jobs have ended."""
     lease_s = _lease_s(settings.resend_s, settings.worker_lease_limit_s)
-    entry = EntryAddress(incarnation=_incarnation(settings.name), address=settings.stream_address)
+    entry = EntryAddress(
+        incarnation=new_incarnation(settings.name), address=settings.stream_address
+    )
     dispatcher = Dispatcher(
         entry=entry, times=DispatchTimes(entry_lease_s=lease_s, worker_lease_s=lease_s)
     )
@@ -198,7 +194,7 @@
 ) -> None:
     """Serve an agent until ``stop`` is set and its runs have ended."""
     lease_s = _lease_s(settings.resend_s, settings.worker_lease_limit_s)
-    incarnation = _incarnation(settings.name)
+    incarnation = new_incarnation(settings.name)
     agent = WorkerAgent(
         hello=AgentHello(agent=settings.name, incarnation=incarnation, domain=settings.domain),
         ports=AgentPorts(
--- a/persimmoncrank/coordination/dispatch/_agent_link.py
+++ b/persimmoncrank/coordination/dispatch/_agent_link.py
@@ -21,7 +21,6 @@
     task: JobTask
     order: TaskOrder
     is_sent: bool = False
-    has_started: bool = False
     is_stopping: bool = False
 
 
--- a/persimmoncrank/coordination/dispatch/_agent_streams.py
+++ b/persimmoncrank/coordination/dispatch/_agent_streams.py
@@ -185,7 +185,6 @@
         for order_id in frame.started:
             order = link.orders.get(order_id)
             if order is not None:
-                order.has_started = True
                 order.task.job.may_have_started = True
         for end in frame.ended:
             self._note_end(link, end)
--- a/persimmoncrank/coordination/execution/_worker_agent.py
+++ b/persimmoncrank/coordination/execution/_worker_agent.py
@@ -20,7 +20,7 @@
     WorkerPort,
     WorkerReport,
 )
-from persimmoncrank.state import AgentCounters, LatencyHistogram, Run, RunLedger
+from persimmoncrank.state import AgentCounters, LatencyHistogram, Run
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -84,16 +84,6 @@
         self._is_leaving = False
         self._stop = anyio.Event()
 
-    @property
-    def ledger(self) -> RunLedger | None:
-        """The runs of the worker that is there now."""
-        return self.runner.ledger if self.runner else None
-
-    @property
-    def heartbeat(self) -> WorkerHeartbeat | None:
-        """The newest heartbeat of the worker."""
-        return self._heartbeat
-
     async def run(self) -> None:
         """Serve until asked to stop and all runs have ended."""
         async with anyio.create_task_group() as group:
