--- a/persimmoncrank/transport/__init__.py
+++ b/persimmoncrank/transport/__init__.py
@@ -16,6 +16,7 @@
     from persimmoncrank.transport._backend_http import (
         BackendClient,
     )
+    from persimmoncrank.transport._connections import Connections
     from persimmoncrank.transport._entry_http import (
         ApiLimits,
         entry_app,
@@ -49,6 +50,7 @@
 __all__ = [
     "ApiLimits",
     "BackendClient",
+    "Connections",
     "Metrics",
     "PlatformClient",
     "RpcClient",
@@ -74,6 +76,7 @@
     "dispatch_entry_metrics": "_metrics",
     "ApiLimits": "_entry_http",
     "BackendClient": "_backend_http",
+    "Connections": "_connections",
     "Metrics": "_metrics",
     "PlatformClient": "_platform_http",
     "RpcClient": "_rpc_client",
--- /dev/null
+++ b/persimmoncrank/transport/_connections.py
@@ -0,0 +1,51 @@
+"""Kept-alive HTTP connections to one server.
+
+A pool looks at all its connections for each request, which cost more than the request itself; with
+one server there is nothing to choose.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import anyio
+import httpcore
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+log = logging.getLogger(__name__)
+
+
+class Connections:
+    """Up to ``max_connections`` connections to one server; the one used last is used first."""
+
+    def __init__(self, *, address: str, max_connections: int) -> None:
+        """Create them without connecting."""
+        self._url = f"http://{address}"
+        self._origin = httpcore.URL(self._url).origin
+        self._idle: list[httpcore.AsyncHTTPConnection] = []
+        self._slots = anyio.Semaphore(max_connections)
+
+    async def request(
+        self, method: str, path: str, *, headers: Sequence[tuple[str, str]], content: bytes
+    ) -> httpcore.Response:
+        """Send a request and return the whole answer; a cancelled one closes its connection."""
+        async with self._slots:
+            connection = await self._take()
+            response = await connection.request(
+                method, f"{self._url}{path}", headers=headers, content=content
+            )
+            if connection.is_available():
+                self._idle.append(connection)
+            return response
+
+    async def _take(self) -> httpcore.AsyncHTTPConnection:
+        """Return an idle connection that the server has not closed, or a new one."""
+        while self._idle:
+            connection = self._idle.pop()
+            if not connection.has_expired():
+                return connection
+            await connection.aclose()
+        return httpcore.AsyncHTTPConnection(self._origin)
