--- a/persimmoncrank/cli.py
+++ b/persimmoncrank/cli.py
@@ -91,6 +91,11 @@
 HELP_OPT_LOAD = "The load as a share of the capacity."
 HELP_OPT_LIGHT = "Agents of which nothing but the heartbeats is real."
 HELP_OPT_JOBS_PER_S = "Jobs submitted each second; 0 measures control alone."
+HELP_LEDGER = """Split the time of jobs into its parts, from the logs of entries and agents.
+
+Example: persimmoncrank ledger entry-1.log agent-1.log agent-2.log
+"""
+HELP_OPT_JOB = "Show every line about this job instead."
 HELP_DEMO = """Run the whole system in one process and submit the example jobs.
 
 Example: persimmoncrank demo
@@ -343,6 +348,24 @@
     click.echo(command.policy(settings, with_baselines=baselines, is_json=is_json))
 
 
+@cli.command(help=HELP_LEDGER)
+@click.argument(
+    "paths",
+    metavar="LOG...",
+    nargs=-1,
+    required=True,
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+)
+@click.option("--job", default="", help=HELP_OPT_JOB)
+@json_option
+def ledger(paths: tuple[Path, ...], job: str, is_json: bool) -> None:
+    """Show where the time of jobs went."""
+    from persimmoncrank.commands import ledger as command
+
+    settings = command.LedgerSettings(paths=paths, job=job, is_json=is_json)
+    _print(command.ledger(settings))
+
+
 @cli.command(help=HELP_DEMO)
 @click.option("-v", "--verbose", "is_verbose", is_flag=True, help=HELP_OPT_VERBOSE)
 def demo(is_verbose: bool) -> None:
