Count a full worker as slower when choosing one, and add a model to compare choices

Cause, from the ledger: all entries send to the fastest worker with room in views that are up to 150 ms old, so tasks wait there while other workers stand empty. A worker now counts as slower the fuller it is, up to 0.4 s.

The model runs real entries and agents over stand-in workers in virtual time (bench workers); its world was the tests'.

--- a/persimmoncrank/bench/__init__.py
+++ b/persimmoncrank/bench/__init__.py
@@ -33,6 +33,13 @@
         PolicySettings,
         run_policy,
     )
+    from persimmoncrank.bench._worker_baselines import CHOICES
+    from persimmoncrank.bench._worker_load import DEPLOYMENTS
+    from persimmoncrank.bench._worker_policy import (
+        WorkerPolicyReport,
+        WorkerPolicySettings,
+        run_worker_policy,
+    )
     from persimmoncrank.bench._workload import (
         PROFILES,
     )
@@ -43,6 +50,8 @@
     )
 
 __all__ = [
+    "CHOICES",
+    "DEPLOYMENTS",
     "FAULTS",
     "POLICIES",
     "PROFILES",
@@ -58,14 +67,22 @@
     "Process",
     "Restriction",
     "Start",
+    "WorkerPolicyReport",
+    "WorkerPolicySettings",
     "World",
     "run_live",
     "run_policy",
     "run_virtual",
+    "run_worker_policy",
     "settle",
 ]
 
 _MODULES = {
+    "CHOICES": "_worker_baselines",
+    "DEPLOYMENTS": "_worker_load",
+    "WorkerPolicyReport": "_worker_policy",
+    "WorkerPolicySettings": "_worker_policy",
+    "run_worker_policy": "_worker_policy",
     "AgentOptions": "_world",
     "Answered": "_history",
     "FAULTS": "_policy",
--- /dev/null
+++ b/persimmoncrank/bench/_worker_policy.py
@@ -0,0 +1,173 @@
+"""Compares ways to choose a worker: real entries and agents over stand-in workers, virtual time."""
+
+from __future__ import annotations
+
+import logging
+import random
+from dataclasses import dataclass
+from statistics import mean, quantiles
+
+import anyio
+
+from persimmoncrank.bench._network import run_virtual
+from persimmoncrank.bench._worker_baselines import CHOICES
+from persimmoncrank.bench._worker_load import (
+    DEPLOYMENTS,
+    Deployment,
+    PlannedJob,
+    draw_jobs,
+    work_by_task,
+)
+from persimmoncrank.bench._worker_world import WorkerWorld
+from persimmoncrank.protocol import WorkerJobAnswer
+
+log = logging.getLogger(__name__)
+
+DRAIN_S = 8.0
+WARM_UP_S = 4.0  # speeds are learned by then
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WorkerPolicySettings:
+    """One run of a deployment's traffic."""
+
+    deployment: str = "passeggiate"
+    choice: str = "product"
+    seed: int = 1
+    load: float = 1.0
+    seconds: float = 20.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WorkerPolicyReport:
+    """The measures of one run, over the jobs that came after the warm-up.
+
+    ``response_ratio`` is the response time over that of the longest task on the fastest worker
+    with nothing else there; ``agent_wait_ms`` is how long tasks waited at their agent.
+    """
+
+    choice: str
+    seed: int
+    load: float
+    jobs: int
+    on_time: float
+    on_time_of_work: float
+    on_time_worst_kind: float
+    not_run: float
+    response_ratio_p50: float
+    response_ratio_p99: float
+    agent_wait_ms_p95: float
+    frames_for_a_task: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Answered:
+    planned: PlannedJob
+    answer: WorkerJobAnswer | None
+    took_s: float
+
+    @property
+    def is_on_time(self) -> bool:
+        is_completed = self.answer is not None and self.answer.is_completed
+        return is_completed and self.took_s <= self.planned.objective_s
+
+
+def run_worker_policy(settings: WorkerPolicySettings) -> WorkerPolicyReport:
+    """Run a deployment's traffic; the same settings give the same report."""
+
+    async def main() -> WorkerPolicyReport:
+        async with anyio.create_task_group() as group:
+            report = await _play(settings, WorkerWorld(group=group, seed=settings.seed))
+            group.cancel_scope.cancel()
+        return report
+
+    return run_virtual(main, seed=settings.seed)
+
+
+async def _play(settings: WorkerPolicySettings, world: WorkerWorld) -> WorkerPolicyReport:
+    deployment = DEPLOYMENTS[settings.deployment]
+    rng = random.Random(settings.seed)
+    jobs = draw_jobs(rng, deployment, load=settings.load, seconds=settings.seconds)
+    works = work_by_task(jobs)
+    world.run_s = works.__getitem__
+    world.network.poll_s = 1.0
+    world.choose = CHOICES[settings.choice](settings.seed)
+    world.add_workers(_sizes(deployment))
+    await world.start(entries=deployment.entries, agents=0)
+    _set_speeds(world, deployment)
+    answers: list[_Answered] = []
+    started_at_s = anyio.current_time()
+    async with anyio.create_task_group() as group:
+        for planned in jobs:
+            await anyio.sleep(max(started_at_s + planned.at_s - anyio.current_time(), 0))
+            group.start_soon(_submit, world, planned, answers)
+        await anyio.sleep(DRAIN_S)
+        group.cancel_scope.cancel()
+    return _report(settings, world, deployment, answers)
+
+
+def _sizes(deployment: Deployment) -> list[int]:
+    sizes = deployment.sizes
+    return [
+        int(deployment.cpu_millis * sizes[number % len(sizes)])
+        for number in range(deployment.workers)
+    ]
+
+
+def _set_speeds(world: WorkerWorld, deployment: Deployment) -> None:
+    """Give each worker its speed, in an order that does not go along with the sizes."""
+    speeds = deployment.speeds
+    for number, worker in enumerate(world.workers.values()):
+        worker.slowness = 1 / speeds[(number // len(deployment.sizes) + number) % len(speeds)]
+
+
+async def _submit(world: WorkerWorld, planned: PlannedJob, answers: list[_Answered]) -> None:
+    sent_at_s = anyio.current_time()
+    answer = await world.submit(f"e{planned.entry}", planned.job)
+    took_s = anyio.current_time() - sent_at_s
+    answers.append(_Answered(planned=planned, answer=answer, took_s=took_s))
+
+
+def _report(
+    settings: WorkerPolicySettings,
+    world: WorkerWorld,
+    deployment: Deployment,
+    answers: list[_Answered],
+) -> WorkerPolicyReport:
+    measured = [found for found in answers if found.planned.at_s >= WARM_UP_S]
+    ratios = [_ratio(found, deployment) for found in measured if _is_completed(found)]
+    cuts = quantiles(ratios, n=100, method="inclusive")
+    work_s = {found.planned.job.job_id: sum(found.planned.work_s) for found in measured}
+    on_time_s = sum(work_s[f.planned.job.job_id] for f in measured if f.is_on_time)
+    waits_ms = sorted(1000 * wait_s for wait_s in world.waits_s)
+    tasks = sum(len(found.planned.work_s) for found in answers)
+    return WorkerPolicyReport(
+        choice=settings.choice,
+        seed=settings.seed,
+        load=settings.load,
+        jobs=len(measured),
+        on_time=mean(found.is_on_time for found in measured),
+        on_time_of_work=on_time_s / sum(work_s.values()),
+        on_time_worst_kind=min(
+            mean(found.is_on_time for found in measured if found.planned.kind == kind.name)
+            for kind in deployment.kinds
+        ),
+        not_run=mean(_is_refused(found) for found in measured),
+        response_ratio_p50=cuts[49],
+        response_ratio_p99=cuts[98],
+        agent_wait_ms_p95=waits_ms[int(0.95 * len(waits_ms))],
+        frames_for_a_task=world.network.sent / tasks,
+    )
+
+
+def _is_completed(found: _Answered) -> bool:
+    return found.answer is not None and found.answer.is_completed
+
+
+def _is_refused(found: _Answered) -> bool:
+    error = found.answer.error if found.answer is not None else None
+    return error is not None and error.not_run
+
+
+def _ratio(found: _Answered, deployment: Deployment) -> float:
+    return found.took_s * max(deployment.speeds) / max(found.planned.work_s)
--- a/persimmoncrank/tests/worker_world.py
+++ b/persimmoncrank/bench/_worker_world.py
@@ -6,14 +6,19 @@
 import itertools
 import logging
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
 import anyio
 from anyio.abc import TaskGroup
 
-from persimmoncrank.coordination.dispatch import Dispatcher, DispatchTimes
+from persimmoncrank.coordination.dispatch import (
+    ChooseWorker,
+    Dispatcher,
+    DispatchTimes,
+    choose_worker,
+)
 from persimmoncrank.coordination.execution import AgentPorts, LeaseTimes, WorkerAgent
 from persimmoncrank.protocol import (
     AgentHello,
@@ -29,6 +34,7 @@
     WorkerJobAnswer,
 )
 from persimmoncrank.standin import WorkerStandin
+from persimmoncrank.state import LatencyHistogram
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -71,11 +77,16 @@
 
 @dataclass(kw_only=True)
 class StreamNetwork:
-    """All streams; ``cuts`` holds pairs of names, or single names that reach nobody."""
+    """All streams; ``cuts`` holds pairs of names, or single names that reach nobody.
+
+    A reader looks every ``poll_s`` whether a cut has healed; ``sent`` counts messages.
+    """
 
     serve: dict[str, Callable[[MessageStream], Awaitable[None]]] = field(default_factory=dict)
     cuts: set[frozenset[str]] = field(default_factory=set)
     pipes: list[_Pipe] = field(default_factory=list)
+    poll_s: float = 0.01
+    sent: int = 0
     groups: dict[str, TaskGroup] = field(default_factory=dict)
 
     def is_cut(self, ends: frozenset[str]) -> bool:
@@ -130,6 +141,7 @@
             await anyio.lowlevel.checkpoint()
             if outward.is_closed:
                 raise StreamClosedError("closed")
+            self.sent += 1
             outward.messages.append((anyio.current_time() + DELAY_S, message))
             outward.wake()
 
@@ -143,12 +155,25 @@
                         return message
                 elif inward.is_closed and not self.is_cut(inward.ends):
                     raise StreamClosedError("closed")
-                with anyio.move_on_after(0.01):
+                with anyio.move_on_after(self.poll_s):
                     await inward.changed.wait()
 
         return MessageStream(send=send, receive=receive)
 
 
+class _RecordedTimes(LatencyHistogram):
+    """Keeps each time as it is."""
+
+    def __init__(self, *, times_s: list[float]) -> None:
+        """Append to a list."""
+        super().__init__()
+        self._times_s = times_s
+
+    def observe(self, time_s: float) -> None:
+        """Take note of one time."""
+        self._times_s.append(time_s)
+
+
 @dataclass(kw_only=True)
 class _Process:
     """One process that runs now."""
@@ -169,24 +194,30 @@
     workers: dict[str, WorkerStandin] = field(default_factory=dict)
     demands: dict[str, Demand] = field(default_factory=dict)
     run_s: Callable[[TaskRef], float] = lambda _task: 0.2
+    choose: ChooseWorker = choose_worker
+    waits_s: list[float] = field(default_factory=list)
     _lives: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
 
     async def start(self, *, entries: int = 2, agents: int = 3, cores: int = 16) -> None:
         """Start everything and wait until the entries see all workers."""
-        for number in range(agents):
-            name = f"a{number}"
+        self.add_workers([cores * 1000] * agents)
+        for number in range(entries):
+            self.start_entry(f"e{number}")
+        for name in self.workers:
+            self.start_agent(name)
+        await anyio.sleep(1.0)
+
+    def add_workers(self, cpu_millis: Sequence[int]) -> None:
+        """Start workers of these sizes; their agents start with the entries."""
+        for size in cpu_millis:
+            name = f"a{len(self.workers)}"
             self.workers[name] = WorkerStandin(
                 name=f"w-{name}",
-                capacity=Demand(cpu_millis=cores * 1000, memory_mb=32_768),
+                capacity=Demand(cpu_millis=size, memory_mb=32_768),
                 rng=random.Random(f"{self.seed}/{name}"),
                 run_s=self._run_time_s,
             )
             self.group.start_soon(self.workers[name].run)
-        for number in range(entries):
-            self.start_entry(f"e{number}")
-        for name in self.workers:
-            self.start_agent(name)
-        await anyio.sleep(1.0)
 
     def _run_time_s(self, task: TaskRef) -> float:
         return self.run_s(task)
@@ -199,7 +230,7 @@
         """Start an entry, with the configuration."""
         entry = EntryAddress(incarnation=f"{name}-{next(self._lives)}", address=name)
         times = DispatchTimes(entry_lease_s=LEASE_S, worker_lease_s=LEASE_S)
-        dispatcher = Dispatcher(entry=entry, times=times)
+        dispatcher = Dispatcher(entry=entry, times=times, choose=self.choose)
         dispatcher.set_config(QueueTable(version=1, queues=(QUEUE,)), (), 1)
         scope = anyio.CancelScope()
         self.entries[name] = _Process(scope=scope, node=dispatcher)
@@ -233,6 +264,7 @@
             ),
             times=LeaseTimes(entry_lease_s=LEASE_S, worker_lease_s=LEASE_S),
         )
+        agent.wait_times = _RecordedTimes(times_s=self.waits_s)
         scope = anyio.CancelScope()
         self.agents[name] = _Process(scope=scope, node=agent)
 
--- a/persimmoncrank/cli.py
+++ b/persimmoncrank/cli.py
@@ -84,6 +84,11 @@
 
 Example: persimmoncrank bench policy --load 0.8 --faults withdraw --baselines
 """
+HELP_BENCH_WORKERS = """Run a deployment of workers in virtual time and count the jobs on time.
+
+Example: persimmoncrank bench workers --deployment chattahoochee --load 1.9 --baselines
+"""
+HELP_OPT_CALM = "The traffic in multiples of a calm day's."
 HELP_OPT_FAULTS = (
     "Faults, separated by commas: withdraw, store-down, agent-dies, failing-backend, silent, pause."
 )
@@ -348,6 +353,29 @@
     click.echo(command.policy(settings, with_baselines=baselines, is_json=is_json))
 
 
+@bench.command("workers", help=HELP_BENCH_WORKERS)
+@click.option("--deployment", default="passeggiate", show_default=True)
+@click.option("--seed", default=1, show_default=True)
+@click.option(
+    "--load", default=1.0, show_default=True, type=click.FloatRange(0.01, 5), help=HELP_OPT_CALM
+)
+@click.option("--seconds", default=20.0, show_default=True, type=click.FloatRange(6))
+@click.option("--baselines", is_flag=True, help=HELP_OPT_BASELINES)
+@json_option
+def bench_workers(is_json: bool, baselines: bool, deployment: str, **options: Any) -> None:
+    """Measure the choice of workers."""
+    try:
+        from persimmoncrank.bench import DEPLOYMENTS, WorkerPolicySettings
+    except ModuleNotFoundError as error:
+        fail(f"no module {error.name!r}; install persimmoncrank[bench]", EXIT_USAGE)
+    from persimmoncrank.commands import bench as command
+
+    if deployment not in DEPLOYMENTS:
+        fail(f"no deployment {deployment!r}; there are {', '.join(DEPLOYMENTS)}", EXIT_USAGE)
+    settings = WorkerPolicySettings(deployment=deployment, **options)
+    click.echo(command.workers(settings, with_baselines=baselines, is_json=is_json))
+
+
 @cli.command(help=HELP_LEDGER)
 @click.argument(
     "paths",
--- a/persimmoncrank/commands/bench.py
+++ b/persimmoncrank/commands/bench.py
@@ -9,10 +9,19 @@
 import msgspec
 from result import Err, Ok, Result
 
-from persimmoncrank.bench import POLICIES, run_live, run_policy
+from persimmoncrank.bench import CHOICES, POLICIES, run_live, run_policy, run_worker_policy
 
 if TYPE_CHECKING:
-    from persimmoncrank.bench import LiveReport, LiveSettings, PolicyReport, PolicySettings
+    from collections.abc import Sequence
+
+    from persimmoncrank.bench import (
+        LiveReport,
+        LiveSettings,
+        PolicyReport,
+        PolicySettings,
+        WorkerPolicyReport,
+        WorkerPolicySettings,
+    )
 
 log = logging.getLogger(__name__)
 
@@ -39,7 +48,16 @@
     return "\n".join(describe_policies(reports))
 
 
-def describe_policies(reports: list[PolicyReport]) -> list[str]:
+def workers(settings: WorkerPolicySettings, *, with_baselines: bool, is_json: bool) -> str:
+    """Run a deployment of workers in virtual time, and baselines if asked."""
+    names = list(CHOICES) if with_baselines else [settings.choice]
+    reports = [run_worker_policy(replace(settings, choice=name)) for name in names]
+    if is_json:
+        return msgspec.json.format(msgspec.json.encode(reports)).decode()
+    return "\n".join(describe_policies(reports))
+
+
+def describe_policies(reports: Sequence[PolicyReport | WorkerPolicyReport]) -> list[str]:
     """Return policy reports as a readable table, one column a policy."""
     lines = []
     for field in fields(reports[0]):
--- a/persimmoncrank/coordination/dispatch/__init__.py
+++ b/persimmoncrank/coordination/dispatch/__init__.py
@@ -2,8 +2,25 @@
 
 from __future__ import annotations
 
+from persimmoncrank.coordination.dispatch._agent_link import AgentLink
 from persimmoncrank.coordination.dispatch._agent_streams import DispatchTimes
 from persimmoncrank.coordination.dispatch._directory import follow_directory, register_entry
 from persimmoncrank.coordination.dispatch._dispatcher import Dispatcher
+from persimmoncrank.coordination.dispatch._worker_choice import (
+    ChooseWorker,
+    choose_worker,
+    workers_with_room,
+)
+from persimmoncrank.coordination.dispatch._worker_jobs import JobTask
 
-__all__ = ["DispatchTimes", "Dispatcher", "follow_directory", "register_entry"]
+__all__ = [
+    "AgentLink",
+    "ChooseWorker",
+    "DispatchTimes",
+    "Dispatcher",
+    "JobTask",
+    "choose_worker",
+    "follow_directory",
+    "register_entry",
+    "workers_with_room",
+]
--- a/persimmoncrank/coordination/dispatch/_agent_link.py
+++ b/persimmoncrank/coordination/dispatch/_agent_link.py
@@ -54,6 +54,13 @@
         """The worker's room, less orders that the newest report does not count."""
         return self._free
 
+    @property
+    def free_share(self) -> float:
+        """The share of the worker's processors that is free, from 0 to 1."""
+        if self.report is None or not self.report.capacity.cpu_millis:
+            return 0.0
+        return max(self._free.cpu_millis, 0) / self.report.capacity.cpu_millis
+
     def open_stream(self, hello: AgentHello) -> list[OpenOrder]:
         """Start over on a new stream; return the orders that the agent does not hold."""
         self.hello = hello
--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -10,7 +10,11 @@
 
 from persimmoncrank.coordination.dispatch._agent_link import AgentLink, OpenOrder
 from persimmoncrank.coordination.dispatch._agent_streams import AgentStreams, DispatchTimes
-from persimmoncrank.coordination.dispatch._worker_choice import choose_worker, is_eligible
+from persimmoncrank.coordination.dispatch._worker_choice import (
+    ChooseWorker,
+    choose_worker,
+    is_eligible,
+)
 from persimmoncrank.coordination.dispatch._worker_jobs import (
     JobRun,
     JobTask,
@@ -44,7 +48,9 @@
 class Dispatcher:
     """Coordinates the jobs that arrive at one entry."""
 
-    def __init__(self, *, entry: EntryAddress, times: DispatchTimes) -> None:
+    def __init__(
+        self, *, entry: EntryAddress, times: DispatchTimes, choose: ChooseWorker = choose_worker
+    ) -> None:
         """Create a dispatcher that knows no agent and no queue."""
         self.entry = entry
         self.jobs: dict[str, JobRun] = {}
@@ -60,6 +66,7 @@
         self.links = self.streams.links
         self.counters = EntryCounters()
         self.job_times = LatencyHistogram()
+        self._choose = choose
         self._durations = Durations()
         self._order_ids = itertools.count(1)
         self._place_wanted = anyio.Event()
@@ -224,7 +231,7 @@
         links = list(self.links.values())
         placed = 0
         for task in self.pending:
-            link = choose_worker(task, links, withdrawn=self.withdrawn)
+            link = self._choose(task, links, withdrawn=self.withdrawn)
             if link is None:
                 break
             self._order(task, link)
--- a/persimmoncrank/coordination/dispatch/_worker_choice.py
+++ b/persimmoncrank/coordination/dispatch/_worker_choice.py
@@ -3,16 +3,22 @@
 from __future__ import annotations
 
 import logging
+import math
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Collection, Iterable, Iterator
 
     from persimmoncrank.coordination.dispatch._agent_link import AgentLink
     from persimmoncrank.coordination.dispatch._worker_jobs import JobTask
 
 log = logging.getLogger(__name__)
 
+CROWDED_WAIT_S = 0.4  # measured: docs/design/placement.md
+
+ChooseWorker = Callable[..., "AgentLink | None"]
+
 
 def is_eligible(task: JobTask, link: AgentLink, *, withdrawn: Collection[str]) -> bool:
     """Tell whether a worker may run a task at all, apart from its room."""
@@ -27,32 +33,42 @@
     )
 
 
-def choose_worker(
+def workers_with_room(
     task: JobTask, links: Iterable[AgentLink], *, withdrawn: Collection[str]
-) -> AgentLink | None:
-    """Return the worker with room where the task is expected to end first, or None.
-
-    Workers that failed this task or fail most of what they start come last.
-    """
-    best: AgentLink | None = None
-    best_score: tuple[bool, bool, float, int] | None = None
+) -> Iterator[AgentLink]:
+    """Yield the workers that may run a task now; a suspect one gets one task at a time."""
     for link in links:
         if not task.demand.fits_in(link.free):
             continue
         if not is_eligible(task, link, withdrawn=withdrawn) or _is_crowded(task, link):
             continue
-        report = link.report
-        if report is None or (report.is_suspect and link.orders):
-            continue
-        score = (
-            report.worker in task.failed_workers,
-            report.is_suspect,
-            report.slowness,
-            -link.free.cpu_millis,
-        )
-        if best_score is None or score < best_score:
-            best, best_score = link, score
-    return best
+        if link.report is not None and not (link.report.is_suspect and link.orders):
+            yield link
+
+
+def choose_worker(
+    task: JobTask, links: Iterable[AgentLink], *, withdrawn: Collection[str]
+) -> AgentLink | None:
+    """Return the worker with room where the task is expected to end first, or None.
+
+    Workers that failed this task or fail most of what they start come last. A full worker counts
+    as slower than an empty one: other entries order there too, and what finds no room waits.
+    """
+    found = workers_with_room(task, links, withdrawn=withdrawn)
+    return min(found, key=lambda link: _rank(task, link), default=None)
+
+
+def _rank(task: JobTask, link: AgentLink) -> tuple[bool, bool, float]:
+    report = link.report
+    if report is None:
+        return (True, True, math.inf)
+    run_s = task.nominal_s * report.slowness
+    crowded_s = CROWDED_WAIT_S * (1 - link.free_share)
+    return (
+        report.worker in task.failed_workers,
+        report.is_suspect,
+        run_s + crowded_s,
+    )
 
 
 def _is_crowded(task: JobTask, link: AgentLink) -> bool:
--- a/persimmoncrank/tests/test_dispatcher.py
+++ b/persimmoncrank/tests/test_dispatcher.py
@@ -9,6 +9,7 @@
 import pytest
 
 from persimmoncrank.bench._network import run_virtual
+from persimmoncrank.bench._worker_world import QUEUE, WorkerWorld, make_worker_job
 from persimmoncrank.protocol import (
     Demand,
     EntryFrame,
@@ -18,7 +19,6 @@
     TaskRef,
 )
 from persimmoncrank.tests.worker_invariants import check_all
-from persimmoncrank.tests.worker_world import QUEUE, WorkerWorld, make_worker_job
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/persimmoncrank/tests/test_worker_choice.py
+++ b/persimmoncrank/tests/test_worker_choice.py
@@ -4,11 +4,11 @@
 
 import pytest
 
+from persimmoncrank.bench._worker_world import SERVICE, make_worker_job
 from persimmoncrank.coordination.dispatch._agent_link import AgentLink
 from persimmoncrank.coordination.dispatch._worker_choice import choose_worker
 from persimmoncrank.coordination.dispatch._worker_jobs import JobRun, JobTask
 from persimmoncrank.protocol import AgentHello, Demand, TaskRef, WorkerReport
-from persimmoncrank.tests.worker_world import SERVICE, make_worker_job
 
 CAPACITY = Demand(cpu_millis=16_000, memory_mb=32_768)
 
@@ -52,13 +52,21 @@
 
 
 @pytest.mark.parametrize(
-    ("free", "expected"),
-    [({"fast": 16_000, "slow": 16_000}, "fast"), ({"fast": 0, "slow": 16_000}, "slow")],
+    ("free", "nominal_s", "expected"),
+    [
+        ({"fast": 16_000, "slow": 16_000}, 0.1, "fast"),
+        ({"fast": 0, "slow": 16_000}, 0.1, "slow"),
+        ({"fast": 2_000, "slow": 16_000}, 0.1, "slow"),
+        ({"fast": 2_000, "slow": 16_000}, 1.0, "fast"),
+    ],
+    ids=["both empty", "full", "nearly full, short task", "nearly full, long task"],
 )
-def test_the_fastest_worker_with_room_is_chosen(free: dict[str, int], expected: str) -> None:
+def test_the_worker_where_the_task_ends_first_is_chosen(
+    free: dict[str, int], nominal_s: float, expected: str
+) -> None:
     slowness = {"fast": 0.8, "slow": 1.8}
     links = [make_link(name, slowness=slowness[name], free=room) for name, room in free.items()]
-    link = choose_worker(make_task(0.1), links, withdrawn=())
+    link = choose_worker(make_task(nominal_s), links, withdrawn=())
     assert link is not None
     assert link.hello.agent == expected
 
--- a/persimmoncrank/tests/test_worker_histories.py
+++ b/persimmoncrank/tests/test_worker_histories.py
@@ -9,8 +9,8 @@
 import pytest
 
 from persimmoncrank.bench._network import run_virtual
+from persimmoncrank.bench._worker_world import WorkerWorld, make_worker_job
 from persimmoncrank.tests.worker_invariants import check_all
-from persimmoncrank.tests.worker_world import WorkerWorld, make_worker_job
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine, Sequence
--- a/persimmoncrank/tests/worker_invariants.py
+++ b/persimmoncrank/tests/worker_invariants.py
@@ -11,8 +11,8 @@
 from persimmoncrank.protocol import Demand
 
 if TYPE_CHECKING:
+    from persimmoncrank.bench._worker_world import WorkerWorld
     from persimmoncrank.standin import WorkerHistoryEntry
-    from persimmoncrank.tests.worker_world import WorkerWorld
 
 log = logging.getLogger(__name__)
 
