Serve callers with open connections until a leaving entry must end

It now takes what is expected to end in the time that is left, closes each connection with its answer, and ends once no caller is connected.

--- a/persimmoncrank/commands/dispatch.py
+++ b/persimmoncrank/commands/dispatch.py
@@ -142,7 +142,7 @@
             message_type=AgentFrame,
             serve=dispatcher.streams.serve,
         ),
-        serve_http(apps.front(dispatcher), settings.front_address),
+        serve_http(apps.front(dispatcher), settings.front_address) as front,
         serve_http(apps.ready(dispatcher), settings.ready_address),
         serve_http(metrics_app(entry_page), settings.metrics_address),
         anyio.create_task_group() as group,
@@ -151,7 +151,7 @@
         for task in (dispatcher.run, follower.run, register, follow):
             group.start_soon(task)
         await stop.wait()
-        await _leave(dispatcher, settings.grace_s)
+        await _leave(dispatcher, settings.grace_s, front.count_connections)
         group.cancel_scope.cancel()
     log.info("entry: stopped entry=%s", entry.incarnation)
 
@@ -167,14 +167,21 @@
     return set_config
 
 
-async def _leave(dispatcher: Dispatcher, grace_s: float) -> None:
-    """Let the balancer notice, then take no more jobs and wait for those that run."""
-    log.info("entry: leaving entry=%s jobs=%d", dispatcher.entry.incarnation, len(dispatcher.jobs))
-    dispatcher.is_leaving = True
-    started_at_s = anyio.current_time()
+async def _leave(dispatcher: Dispatcher, grace_s: float, count_callers: Callable[[], int]) -> None:
+    """Let the balancer notice, then serve the callers that are still connected.
+
+    Each answer closes its connection, so that its caller goes to another entry.
+    """
+    until_s = anyio.current_time() + grace_s - GRACE_MARGIN_S
+    log.info(
+        "entry: leaving entry=%s jobs=%d callers=%d",
+        dispatcher.entry.incarnation,
+        len(dispatcher.jobs),
+        count_callers(),
+    )
+    dispatcher.leave(until_s=until_s)
     await anyio.sleep(min(NOTICE_S, grace_s / 2))
-    dispatcher.is_closed = True
-    while dispatcher.jobs and anyio.current_time() - started_at_s < grace_s - GRACE_MARGIN_S:
+    while (dispatcher.jobs or count_callers()) and anyio.current_time() < until_s:
         await anyio.sleep(POLL_INTERVAL_S)
 
 
--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -42,6 +42,7 @@
 
 WATCH_INTERVAL_S = 0.05
 RETRY_AFTER_MS = 1_000
+LEAVING_FACTOR = 2.0  # a worker's slowness, and what an estimate is off
 NO_WORKER_WAIT_SHARE = 0.25  # of the objective: an agent whose stream broke is back within that
 
 
@@ -58,8 +59,7 @@
         self.queues = QueueTable()
         self.withdrawn: frozenset[str] = frozenset()
         self.config_version = -1
-        self.is_leaving = False
-        self.is_closed = False
+        self._leaves_at_s: float | None = None
         self.streams = AgentStreams(
             entry=entry, times=times, end_order=self._end_order, on_news=self._note_news
         )
@@ -101,6 +101,15 @@
         has_agent = any(link.is_connected for link in self.links.values())
         return self.config_version >= 0 and has_agent and not self.is_leaving
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the entry was asked to stop."""
+        return self._leaves_at_s is not None
+
+    def leave(self, *, until_s: float) -> None:
+        """Take only jobs that are expected to end before ``until_s``."""
+        self._leaves_at_s = until_s
+
     def waiting_jobs(self, queue_name: str) -> int:
         """Return how many jobs of a queue have not started."""
         return sum(
@@ -132,7 +141,7 @@
 
     def _refuse(self, job: WorkerJob) -> ServiceError | None:
         """Return the refusal of a job that cannot be served."""
-        if self.is_closed:
+        if self._leaves_at_s is not None and not self._ends_before(job, self._leaves_at_s):
             message = "the entry is leaving"
             return refusal(ErrorKind.SHUTTING_DOWN, message, retry_after_ms=RETRY_AFTER_MS)
         if job.unsupported:
@@ -140,6 +149,12 @@
             return refusal(ErrorKind.UNSUPPORTED, message)
         return None
 
+    @staticmethod
+    def _ends_before(job: WorkerJob, until_s: float) -> bool:
+        """Tell whether a job that arrives now ends in time on slow workers, too."""
+        chain_s = longest_chain_s(job.steps, [step.estimate_s for step in job.steps])
+        return anyio.current_time() + LEAVING_FACTOR * chain_s < until_s
+
     def cancel(self, job_id: str) -> bool:
         """Cancel a job for its caller; return False if it does not run here."""
         run = self.jobs.get(job_id)
--- a/persimmoncrank/tests/test_entry_http.py
+++ b/persimmoncrank/tests/test_entry_http.py
@@ -63,10 +63,10 @@
             await world.add_customer("e0")
             app = entry_app(node, entry_metrics(node, client), LIMITS)
             async with (
-                serve_http(app, free_addresses(1)[0]) as address,
+                serve_http(app, free_addresses(1)[0]) as server,
                 httpcore.AsyncConnectionPool() as pool,
             ):
-                await test(Api(pool=pool, url=f"http://{address}"))
+                await test(Api(pool=pool, url=f"http://{server.address}"))
             group.cancel_scope.cancel()
 
     anyio.run(main)
--- a/persimmoncrank/transport/_http_server.py
+++ b/persimmoncrank/transport/_http_server.py
@@ -55,11 +55,24 @@
     return listener
 
 
+class HttpServer:
+    """A server that runs."""
+
+    def __init__(self, *, address: str, server: uvicorn.Server) -> None:
+        """Describe a uvicorn server at ``host:port``."""
+        self.address = address
+        self._server = server
+
+    def count_connections(self) -> int:
+        """Return how many connections are open."""
+        return len(self._server.server_state.connections)
+
+
 @contextlib.asynccontextmanager
 async def serve_http(
     app: App, address: str, *, max_connections: int | None = None
-) -> AsyncIterator[str]:
-    """Serve an application at ``host:port``; gives the address."""
+) -> AsyncIterator[HttpServer]:
+    """Serve an application at ``host:port``."""
     listener = open_listener(address)
     config = uvicorn.Config(
         app,
@@ -81,6 +94,6 @@
         while not server.started:
             await anyio.sleep(STARTED_POLL_INTERVAL_S)
         try:
-            yield address
+            yield HttpServer(address=address, server=server)
         finally:
             server.should_exit = True
