Keep a machine's learned speed over the lives of its worker, and learn it sooner

Cause: speed belongs to the machine, but each new worker began at 1.0 again and took about 20 runs to be known; the first runs now weigh more (1/3, 1/4, ... 0.1).

--- a/persimmoncrank/coordination/execution/_worker_agent.py
+++ b/persimmoncrank/coordination/execution/_worker_agent.py
@@ -13,6 +13,7 @@
 from persimmoncrank.coordination.execution._worker_runner import RunnerEvents, WorkerRunner
 from persimmoncrank.protocol import (
     AgentHello,
+    Demand,
     DialStream,
     EntryFrame,
     OrderOutcome,
@@ -20,7 +21,7 @@
     WorkerPort,
     WorkerReport,
 )
-from persimmoncrank.state import AgentCounters, LatencyHistogram, Run
+from persimmoncrank.state import AgentCounters, LatencyHistogram, Run, WorkerHealth
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -62,6 +63,7 @@
         """Create an agent that has not heard of its worker yet."""
         self.hello = hello
         self.runner: WorkerRunner | None = None
+        self._last_runner: WorkerRunner | None = None
         self.counters = AgentCounters()
         self.run_times = LatencyHistogram()
         self.wait_times = LatencyHistogram()
@@ -153,11 +155,19 @@
                     changed=self.links.announce,
                     may_start=self._may_start,
                 ),
+                health=self._known_health(heartbeat),
             )
             await self.runner.run()
-            self.runner = None
+            self._last_runner, self.runner = self.runner, None
             self.links.announce()
 
+    def _known_health(self, worker: WorkerHeartbeat) -> WorkerHealth | None:
+        """Return what the machine's last worker showed, if the new one is of the same kind."""
+        last = self._last_runner
+        if last is None or _kind(last.worker) != _kind(worker):
+            return None
+        return last.health.next_life()
+
     def _may_start(self, run: Run) -> bool:
         """Check all that may have changed since the order came."""
         return self._is_accepting() and self.links.has_lease(run.owner)
@@ -281,5 +291,9 @@
         )
 
 
+def _kind(worker: WorkerHeartbeat) -> tuple[str, tuple[str, ...], Demand]:
+    return (worker.service, worker.labels, worker.capacity)
+
+
 def _age(heartbeat: WorkerHeartbeat) -> tuple[int, int]:
     return (heartbeat.life, heartbeat.sequence)
--- a/persimmoncrank/coordination/execution/_worker_runner.py
+++ b/persimmoncrank/coordination/execution/_worker_runner.py
@@ -91,11 +91,12 @@
         lease_s: float,
         fence: int,
         events: RunnerEvents,
+        health: WorkerHealth | None = None,
     ) -> None:
         """Create a runner; nothing starts before the worker has listed its runs."""
         self.worker = worker
         self.ledger = RunLedger(capacity=worker.capacity)
-        self.health = WorkerHealth()
+        self.health = health or WorkerHealth()
         self.fence = fence
         self.is_over = False
         self._port = port
--- a/persimmoncrank/state/_worker_health.py
+++ b/persimmoncrank/state/_worker_health.py
@@ -15,6 +15,7 @@
 log = logging.getLogger(__name__)
 
 SLOWNESS_WEIGHT = 0.1
+PRIOR_RUNS = 2  # as many runs as the first value counts for
 MIN_SLOWNESS = 0.2
 MAX_SLOWNESS = 20.0
 PROGRESS_WEIGHT = 0.3
@@ -38,6 +39,7 @@
     """
 
     slowness: float = 1.0
+    _runs_learned: int = 0
     _failed_jobs: deque[str] = field(default_factory=lambda: deque(maxlen=SUSPECT_FAILURES))
     _suspension_s: float = 0.0
     _suspended_until_s: float = 0.0
@@ -53,13 +55,19 @@
             return True
         return now_s >= self._suspended_until_s and active == 0
 
+    def next_life(self) -> WorkerHealth:
+        """Return what holds for the machine's next worker of the same kind: its speed."""
+        return WorkerHealth(slowness=self.slowness, _runs_learned=self._runs_learned)
+
     def note_done(self, *, run_s: float, nominal_s: float) -> None:
         """Learn from a run that ended well."""
         self._failed_jobs.clear()
         self._suspension_s = 0.0
         ratio = min(max(run_s / max(nominal_s, 0.001), MIN_SLOWNESS), MAX_SLOWNESS)
         log_slowness = math.log(self.slowness)
-        log_slowness += SLOWNESS_WEIGHT * (math.log(ratio) - log_slowness)
+        self._runs_learned += 1
+        weight = max(SLOWNESS_WEIGHT, 1 / (PRIOR_RUNS + self._runs_learned))
+        log_slowness += weight * (math.log(ratio) - log_slowness)
         self.slowness = math.exp(log_slowness)
 
     def note_progress(self, ratios_by_job: Mapping[str, Sequence[float]]) -> None:
--- a/persimmoncrank/tests/test_dispatcher.py
+++ b/persimmoncrank/tests/test_dispatcher.py
@@ -152,3 +152,27 @@
         assert len(world.workers["a0"].history) == runs
 
     play(scene, entries=1, agents=1)
+
+
+@pytest.mark.parametrize(
+    ("labels", "is_kept"), [(("a",), True), (("b",), False)], ids=["same kind", "another kind"]
+)
+def test_a_machine_keeps_its_speed_over_the_lives_of_its_worker(
+    labels: tuple[str, ...], is_kept: bool
+) -> None:
+    async def scene(world: WorkerWorld) -> None:
+        worker = world.workers["a0"]
+        worker.labels, worker.slowness = ("a",), 3.0
+        worker.crash()
+        await anyio.sleep(2.0)
+        for number in range(6):
+            await world.submit("e0", make_worker_job(f"{number:016x}"))
+        assert world.agents["a0"].node.runner.health.slowness > 2.0
+        worker.labels = labels
+        worker.crash()
+        await anyio.sleep(2.0)
+        runner = world.agents["a0"].node.runner
+        assert runner.worker.life == worker.life
+        assert (runner.health.slowness > 2.0) is is_kept
+
+    play(scene, entries=1, agents=1)
--- a/persimmoncrank/tests/test_worker_health.py
+++ b/persimmoncrank/tests/test_worker_health.py
@@ -77,3 +77,26 @@
     buckets = times.cumulative()
     assert (buckets["0.01"], buckets["0.25"], buckets["10.0"], buckets["+Inf"]) == (1, 3, 3, 4)
     assert times.sum_s == pytest.approx(99.405)
+
+
+@pytest.mark.parametrize(
+    ("runs", "least", "most"), [(1, 1.2, 1.4), (10, 1.7, 2.0), (60, 1.95, 2.0)]
+)
+def test_the_first_runs_weigh_most(runs: int, least: float, most: float) -> None:
+    health = WorkerHealth()
+    for _ in range(runs):
+        health.note_done(run_s=2.0, nominal_s=1.0)
+    assert least < health.slowness < most
+
+
+def test_the_next_life_keeps_the_speed_and_nothing_else() -> None:
+    health = WorkerHealth()
+    for _ in range(20):
+        health.note_done(run_s=2.0, nominal_s=1.0)
+    for job in "abc":
+        health.note_failed(job_id=job, now_s=0.0)
+    successor = health.next_life()
+    assert successor.slowness == health.slowness
+    assert not successor.is_suspect
+    successor.note_done(run_s=1.0, nominal_s=1.0)
+    assert successor.slowness > 1.7
