End a leaving entry within its grace, with an answer for every job

Callers are now waited for until 1.5 s before the end, running jobs until 0.8 s; what still runs then is answered; the server ends by an event.

--- a/persimmoncrank/commands/dispatch.py
+++ b/persimmoncrank/commands/dispatch.py
@@ -46,7 +46,8 @@
 LEASE_SHARE = 0.45  # two leases after each other end before a caller sends its job again
 MAX_LEASE_S = 0.6
 NOTICE_S = 2.2  # a balancer notices after two misses, one a second
-GRACE_MARGIN_S = 0.5
+GRACE_MARGIN_S = 0.8  # servers and streams close within half a second
+CALLERS_MARGIN_S = 1.5  # after it only jobs that run are waited for
 POLL_INTERVAL_S = 0.05
 SETTINGS_INTERVAL_S = 1.0
 STDOUT = 1
@@ -172,17 +173,21 @@
 
     Each answer closes its connection, so that its caller goes to another entry.
     """
-    until_s = anyio.current_time() + grace_s - GRACE_MARGIN_S
+    started_at_s = anyio.current_time()
     log.info(
         "entry: leaving entry=%s jobs=%d callers=%d",
         dispatcher.entry.incarnation,
         len(dispatcher.jobs),
         count_callers(),
     )
-    dispatcher.leave(until_s=until_s)
+    callers_until_s = started_at_s + grace_s - CALLERS_MARGIN_S
+    dispatcher.leave(until_s=callers_until_s)
     await anyio.sleep(min(NOTICE_S, grace_s / 2))
-    while (dispatcher.jobs or count_callers()) and anyio.current_time() < until_s:
+    while count_callers() and anyio.current_time() < callers_until_s:
         await anyio.sleep(POLL_INTERVAL_S)
+    while dispatcher.jobs and anyio.current_time() < started_at_s + grace_s - GRACE_MARGIN_S:
+        await anyio.sleep(POLL_INTERVAL_S)
+    dispatcher.give_up_jobs("the entry had to end")
 
 
 def run_dispatch_agent(
--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -230,6 +230,11 @@
                 if order.task.job is run:
                     link.send_stop(order)
 
+    def give_up_jobs(self, cause: str) -> None:
+        """Answer all jobs that still run; what runs of them is stopped."""
+        for run in list(self.jobs.values()):
+            self._give_up(run, cause)
+
     def _give_up(self, run: JobRun, cause: str) -> None:
         self._finish(run, _unanswered(cause))
 
--- a/persimmoncrank/transport/_http_server.py
+++ b/persimmoncrank/transport/_http_server.py
@@ -24,7 +24,6 @@
 STARTED_POLL_INTERVAL_S = 0.01
 LISTEN_BACKLOG = 2_048
 GRACEFUL_TIMEOUT_S = 5
-EXIT_POLL_INTERVAL_S = 0.5
 KEEPALIVE_S = 75
 
 
@@ -36,10 +35,19 @@
         """Capture no signals."""
         yield
 
+    def __init__(self, config: uvicorn.Config) -> None:
+        """Create a server that has not started."""
+        super().__init__(config)
+        self._exit = anyio.Event()
+
     async def main_loop(self) -> None:
         """Wait for the end without uvicorn's ten ticks a second, which cost as much as serving."""
-        while not self.should_exit:
-            await anyio.sleep(EXIT_POLL_INTERVAL_S)
+        await self._exit.wait()
+
+    def exit(self) -> None:
+        """Close the listener and the idle connections, and end once the others are done."""
+        self.should_exit = True
+        self._exit.set()
 
 
 def open_listener(address: str) -> socket.socket:
@@ -96,4 +104,4 @@
         try:
             yield HttpServer(address=address, server=server)
         finally:
-            server.should_exit = True
+            server.exit()
