Check withdrawals, draining, cancels and versions over histories, under any faults

The invariants of runs on workers now hold the promises with a time bound; each has a mutation that it catches.

Narrowed: a refused job may have started if an earlier attempt of the caller broke off without an answer. Attempts that were all answered are checked as before.

--- a/persimmoncrank/bench/_worker_world.py
+++ b/persimmoncrank/bench/_worker_world.py
@@ -5,6 +5,7 @@
 import contextlib
 import itertools
 import logging
+import math
 import random
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, field
@@ -182,6 +183,17 @@
     node: Any
 
 
+@dataclass(kw_only=True)
+class Restriction:
+    """What may not start from ``since_s`` until it is lifted, as a test of the started task."""
+
+    cause: str
+    worker: str = ""
+    job_id: str = ""
+    since_s: float
+    until_s: float = math.inf
+
+
 @dataclass(kw_only=True, eq=False)
 class WorkerWorld:
     """The processes and workers of one deployment."""
@@ -196,6 +208,11 @@
     run_s: Callable[[TaskRef], float] = lambda _task: 0.2
     choose: ChooseWorker = choose_worker
     waits_s: list[float] = field(default_factory=list)
+    unanswered: set[str] = field(default_factory=set)
+    restrictions: list[Restriction] = field(default_factory=list)
+    versions: list[tuple[str, int]] = field(default_factory=list)
+    _config_version: int = 1
+    _withdrawn: tuple[str, ...] = ()
     _lives: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
 
     async def start(self, *, entries: int = 2, agents: int = 3, cores: int = 16) -> None:
@@ -231,7 +248,7 @@
         entry = EntryAddress(incarnation=f"{name}-{next(self._lives)}", address=name)
         times = DispatchTimes(entry_lease_s=LEASE_S, worker_lease_s=LEASE_S)
         dispatcher = Dispatcher(entry=entry, times=times, choose=self.choose)
-        dispatcher.set_config(QueueTable(version=1, queues=(QUEUE,)), (), 1)
+        self._configure(dispatcher)
         scope = anyio.CancelScope()
         self.entries[name] = _Process(scope=scope, node=dispatcher)
 
@@ -245,6 +262,45 @@
 
         self.group.start_soon(run)
 
+    def _configure(self, dispatcher: Dispatcher) -> None:
+        version = self._config_version
+        dispatcher.set_config(
+            QueueTable(version=version, queues=(QUEUE,)), self._withdrawn, version
+        )
+
+    def withdraw(self, *agents: str) -> None:
+        """Take the failure domains of these agents out, and return all others."""
+        now_s = anyio.current_time()
+        for restriction in self.restrictions:
+            if restriction.cause == "withdrawn":
+                restriction.until_s = min(restriction.until_s, now_s)
+        self.restrictions += [
+            Restriction(cause="withdrawn", worker=f"w-{agent}", since_s=now_s) for agent in agents
+        ]
+        self._withdrawn = tuple(f"d-{agent}" for agent in agents)
+        self._config_version += 1
+        for process in self.entries.values():
+            self._configure(process.node)
+
+    def drain(self, agent: str) -> None:
+        """Let a worker say that it leaves."""
+        worker = self.workers[agent]
+        worker.is_draining = True
+        self.restrictions.append(
+            Restriction(
+                cause="draining", worker=worker.name, since_s=anyio.current_time() + HEARTBEAT_S
+            )
+        )
+
+    def cancel(self, job_id: str) -> bool:
+        """Cancel a job for its caller; return False if no entry runs it."""
+        is_known = any(process.node.cancel(job_id) for process in self.entries.values())
+        if is_known:
+            self.restrictions.append(
+                Restriction(cause="cancelled", job_id=job_id, since_s=anyio.current_time())
+            )
+        return is_known
+
     def kill_entry(self, name: str) -> None:
         """Kill an entry."""
         self.network.serve.pop(name, None)
@@ -270,6 +326,7 @@
 
         async def beat() -> None:
             while True:
+                self.versions.append((agent.hello.incarnation, agent.config_version))
                 agent.note_heartbeat(worker.heartbeat())
                 await anyio.sleep(HEARTBEAT_S)
 
@@ -313,9 +370,10 @@
         answer: WorkerJobAnswer | None = None
         for number in range(tries):
             names = sorted(self.entries)
-            answer = await self.submit(names[number % len(names)], job)
+            answer = await self.submit(names[number % len(names)], job) if names else None
             if answer is not None:
                 return answer
+            self.unanswered.add(job.job_id)
             await anyio.sleep(RESEND_S)
         return answer or WorkerJobAnswer(cause="no answer at all")
 
--- a/persimmoncrank/tests/test_worker_mutations.py
+++ b/persimmoncrank/tests/test_worker_mutations.py
@@ -8,7 +8,14 @@
 import pytest
 
 from persimmoncrank.bench._network import run_virtual
-from persimmoncrank.coordination.dispatch import DispatchTimes
+from persimmoncrank.coordination.dispatch import (
+    AgentLink,
+    Dispatcher,
+    DispatchTimes,
+    JobTask,
+    _worker_choice,
+)
+from persimmoncrank.coordination.execution import WorkerAgent
 from persimmoncrank.coordination.execution._entry_links import EntryLinks
 from persimmoncrank.coordination.execution._worker_runner import WorkerRunner
 from persimmoncrank.state import RunLedger
@@ -17,6 +24,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from persimmoncrank.protocol import EntryFrame
+
 MAX_SEEDS = 3
 LONGEST_S = 3.0
 
@@ -49,7 +58,36 @@
     monkeypatch.setattr(WorkerRunner, "_note_strangers", ignore)
 
 
+def start_whatever_was_ordered(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Check nothing again before a start, at the agent nor at the entry."""
+    monkeypatch.setattr(WorkerAgent, "_is_accepting", lambda _agent: True)
+
+    def is_eligible(_task: JobTask, link: AgentLink, *, withdrawn: Any) -> bool:
+        return link.report is not None and link.is_connected
+
+    monkeypatch.setattr(_worker_choice, "is_eligible", is_eligible)
+
+
+def go_on_with_cancelled_jobs(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Stop no orders of jobs that are over."""
+    monkeypatch.setattr(Dispatcher, "_stop_orders", lambda *_args: None)
+
+
+def take_older_versions(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let an agent forget which version of the configuration it holds."""
+
+    def note(agent: WorkerAgent, frame: EntryFrame) -> None:
+        if frame.withdrawn is not None:
+            agent.config_version = frame.config_version % 2
+
+    monkeypatch.setattr(WorkerAgent, "_note_config", note)
+
+
 CASES = [
+    (start_whatever_was_ordered, histories.withdraw_domain),
+    (start_whatever_was_ordered, histories.drain_worker),
+    (go_on_with_cancelled_jobs, histories.cancel_jobs),
+    (take_older_versions, histories.withdraw_domain),
     (forget_used_room, histories.no_fault),
     (lose_orders_at_once, histories.kill_agent),
     (keep_runs_of_lost_entries, histories.kill_entry),
