--- a/persimmoncrank/bench/_network.py
+++ b/persimmoncrank/bench/_network.py
@@ -106,6 +106,7 @@
         """Create a network without processes."""
         self.rng = rng
         self.faults = NetworkFaults()
+        self.least_delay_s = LEAST_DELAY_S
         self.by_address: dict[str, Process] = {}
         self.messages: dict[str, int] = defaultdict(int)
         self._silent: set[tuple[str, str]] = set()
@@ -151,7 +152,7 @@
         return Err(PeerError(kind=PeerErrorKind.TIMEOUT, message="no reply"))
 
     async def _travel(self) -> None:
-        delay_s = LEAST_DELAY_S + self.rng.expovariate(1 / MEAN_EXTRA_DELAY_S)
+        delay_s = self.least_delay_s + self.rng.expovariate(1 / MEAN_EXTRA_DELAY_S)
         if self.rng.random() < self.faults.slow:
             delay_s += self.faults.slow_delay_s * self.rng.random()
         await anyio.sleep(delay_s)
--- a/persimmoncrank/tests/test_policy.py
+++ b/persimmoncrank/tests/test_policy.py
@@ -6,7 +6,14 @@
 
 import pytest
 
-from persimmoncrank.bench import FAULTS, POLICIES, PolicyReport, PolicySettings, run_policy
+from persimmoncrank.bench import (
+    FAULTS,
+    POLICIES,
+    PROFILES,
+    PolicyReport,
+    PolicySettings,
+    run_policy,
+)
 from persimmoncrank.bench._workload import JobPlan, clairvoyant_responses_s, least_response_s
 
 SHORT = PolicySettings(seconds=9.0, tasks=12, load=0.5)
@@ -24,6 +31,11 @@
     assert run_policy(SHORT) == run_policy(SHORT)
 
 
+def test_profiles_are_deployments_of_their_own() -> None:
+    reports = [run_policy(replace(SHORT, profile=profile)) for profile in PROFILES]
+    assert len({report.response_ratio_p50 for report in reports}) == len(PROFILES)
+
+
 @pytest.mark.parametrize("fault", FAULTS)
 def test_promises_hold_under_each_fault(fault: str) -> None:
     check_promises(run_policy(replace(SHORT, faults=(fault,))))
