Freeze agents and entries in the histories of runs on workers

A frozen process neither sends nor receives nor calls, and what it was about to send goes out when it wakes.

--- a/persimmoncrank/bench/_worker_world.py
+++ b/persimmoncrank/bench/_worker_world.py
@@ -33,6 +33,7 @@
     TaskRef,
     WorkerJob,
     WorkerJobAnswer,
+    WorkerPort,
 )
 from persimmoncrank.standin import WorkerStandin
 from persimmoncrank.state import LatencyHistogram
@@ -47,6 +48,7 @@
 RESEND_S = 1.3
 HEARTBEAT_S = 1.5
 DELAY_S = 0.0015
+FREEZE_POLL_S = 0.01
 SERVICE = "svc"
 QUEUE = Queue(
     name="q",
@@ -80,11 +82,13 @@
 class StreamNetwork:
     """All streams; ``cuts`` holds pairs of names, or single names that reach nobody.
 
+    A process in ``frozen`` neither sends nor receives, and calls nobody, until it is taken out.
     A reader looks every ``poll_s`` whether a cut has healed; ``sent`` counts messages.
     """
 
     serve: dict[str, Callable[[MessageStream], Awaitable[None]]] = field(default_factory=dict)
     cuts: set[frozenset[str]] = field(default_factory=set)
+    frozen: set[str] = field(default_factory=set)
     pipes: list[_Pipe] = field(default_factory=list)
     poll_s: float = 0.01
     sent: int = 0
@@ -94,6 +98,11 @@
         """Tell whether nothing passes between two processes."""
         return ends in self.cuts or any(frozenset({end}) in self.cuts for end in ends)
 
+    async def thaw(self, name: str) -> None:
+        """Wait while a process is frozen."""
+        while name in self.frozen:
+            await anyio.sleep(FREEZE_POLL_S)
+
     def reset(self, name: str) -> None:
         """Break all streams of a process."""
         for pipe in self.pipes:
@@ -123,7 +132,7 @@
             self.pipes += [out, back]
             self.groups[address].start_soon(self._serve, address, out, back)
             try:
-                yield self._stream(back, out)
+                yield self._stream(name, back, out)
             finally:
                 for pipe in (out, back):
                     pipe.is_closed = True
@@ -133,13 +142,14 @@
 
     async def _serve(self, address: str, inward: _Pipe, outward: _Pipe) -> None:
         with contextlib.suppress(StreamClosedError):
-            await self.serve[address](self._stream(inward, outward))
+            await self.serve[address](self._stream(address, inward, outward))
         outward.is_closed = True
         outward.wake()
 
-    def _stream(self, inward: _Pipe, outward: _Pipe) -> MessageStream:
+    def _stream(self, owner: str, inward: _Pipe, outward: _Pipe) -> MessageStream:
         async def send(message: Any) -> None:
             await anyio.lowlevel.checkpoint()
+            await self.thaw(owner)
             if outward.is_closed:
                 raise StreamClosedError("closed")
             self.sent += 1
@@ -151,6 +161,7 @@
                 if inward.messages and not self.is_cut(inward.ends):
                     at_s, message = inward.messages[0]
                     await anyio.sleep(max(at_s - anyio.current_time(), 0))
+                    await self.thaw(owner)
                     if not self.is_cut(inward.ends):
                         inward.messages.pop(0)
                         return message
@@ -314,7 +325,7 @@
             hello=AgentHello(agent=name, incarnation=f"{name}-{life}", domain=f"d-{name}"),
             ports=AgentPorts(
                 dial=self.network.dialer(name),
-                worker_port=worker.port,
+                worker_port=lambda beat: self._freezable(name, worker.port(beat)),
                 lease_clock=anyio.current_time,
                 first_fence=life,
             ),
@@ -341,6 +352,20 @@
 
         self.group.start_soon(run)
 
+    def _freezable(self, name: str, port: WorkerPort) -> WorkerPort:
+        """Return a worker's port that a frozen agent does not reach."""
+
+        def gated(call: Callable[..., Awaitable[Any]]) -> Callable[..., Awaitable[Any]]:
+            async def wait_and_call(*args: Any) -> Any:
+                await self.network.thaw(name)
+                answer = await call(*args)
+                await self.network.thaw(name)
+                return answer
+
+            return wait_and_call
+
+        return WorkerPort(start=gated(port.start), stop=gated(port.stop), renew=gated(port.renew))
+
     def kill_agent(self, name: str) -> None:
         """Kill an agent; its worker goes on until its lease runs out."""
         self.agents.pop(name).scope.cancel()
--- a/persimmoncrank/tests/test_worker_histories.py
+++ b/persimmoncrank/tests/test_worker_histories.py
@@ -137,8 +137,26 @@
             world.cancel(job_id)
 
 
+async def freeze_agent(world: WorkerWorld, rng: random.Random) -> None:
+    """Let an agent stand still; what it was about to send goes out when it wakes."""
+    name = rng.choice(sorted(world.agents))
+    world.network.frozen.add(name)
+    await anyio.sleep(rng.uniform(0.3, 3.0))
+    world.network.frozen.discard(name)
+
+
+async def freeze_entry(world: WorkerWorld, rng: random.Random) -> None:
+    """Let an entry stand still."""
+    name = rng.choice(sorted(world.entries))
+    world.network.frozen.add(name)
+    await anyio.sleep(rng.uniform(0.3, 3.0))
+    world.network.frozen.discard(name)
+
+
 FAULTS = [
     no_fault,
+    freeze_agent,
+    freeze_entry,
     withdraw_domain,
     drain_worker,
     kill_entry,
