--- a/persimmoncrank/bench/_worker_policy.py
+++ b/persimmoncrank/bench/_worker_policy.py
@@ -11,6 +11,7 @@
 
 from persimmoncrank.bench._network import run_virtual
 from persimmoncrank.bench._worker_baselines import CHOICES
+from persimmoncrank.bench._worker_ideal import IdealWorker, ideal_responses_s
 from persimmoncrank.bench._worker_load import (
     DEPLOYMENTS,
     Deployment,
@@ -42,8 +43,9 @@
 class WorkerPolicyReport:
     """The measures of one run, over the jobs that came after the warm-up.
 
-    ``response_ratio`` is the response time over that of the longest task on the fastest worker
-    with nothing else there; ``agent_wait_ms`` is how long tasks waited at their agent.
+    ``on_time_ideal`` is the share on time with full knowledge. ``response_ratio`` is the response
+    time over that of the longest task on the fastest worker with nothing else there.
+    ``agent_wait_ms`` is how long tasks waited at their agent.
     """
 
     choice: str
@@ -51,6 +53,7 @@
     load: float
     jobs: int
     on_time: float
+    on_time_ideal: float
     on_time_of_work: float
     on_time_worst_kind: float
     not_run: float
@@ -94,7 +97,8 @@
     world.choose = CHOICES[settings.choice](settings.seed)
     world.add_workers(_sizes(deployment))
     await world.start(entries=deployment.entries, agents=0)
-    _set_speeds(world, deployment)
+    for worker, speed in zip(world.workers.values(), _speeds(deployment), strict=True):
+        worker.slowness = 1 / speed
     answers: list[_Answered] = []
     started_at_s = anyio.current_time()
     async with anyio.create_task_group() as group:
@@ -103,7 +107,7 @@
             group.start_soon(_submit, world, planned, answers)
         await anyio.sleep(DRAIN_S)
         group.cancel_scope.cancel()
-    return _report(settings, world, deployment, answers)
+    return _report(settings, world, deployment, answers, _ideal_share(jobs, deployment))
 
 
 def _sizes(deployment: Deployment) -> list[int]:
@@ -114,11 +118,26 @@
     ]
 
 
-def _set_speeds(world: WorkerWorld, deployment: Deployment) -> None:
-    """Give each worker its speed, in an order that does not go along with the sizes."""
-    speeds = deployment.speeds
-    for number, worker in enumerate(world.workers.values()):
-        worker.slowness = 1 / speeds[(number // len(deployment.sizes) + number) % len(speeds)]
+def _speeds(deployment: Deployment) -> list[float]:
+    """Return each worker's speed, in an order that does not go along with the sizes."""
+    speeds, sizes = deployment.speeds, deployment.sizes
+    return [
+        speeds[(number // len(sizes) + number) % len(speeds)]
+        for number in range(deployment.workers)
+    ]
+
+
+def _ideal_share(jobs: list[PlannedJob], deployment: Deployment) -> float:
+    workers = [
+        IdealWorker(cpu_millis=size, speed=speed)
+        for size, speed in zip(_sizes(deployment), _speeds(deployment), strict=True)
+    ]
+    responses_s = ideal_responses_s(jobs, workers)
+    return mean(
+        response_s <= planned.objective_s
+        for planned, response_s in zip(jobs, responses_s, strict=True)
+        if planned.at_s >= WARM_UP_S
+    )
 
 
 async def _submit(world: WorkerWorld, planned: PlannedJob, answers: list[_Answered]) -> None:
@@ -133,6 +152,7 @@
     world: WorkerWorld,
     deployment: Deployment,
     answers: list[_Answered],
+    on_time_ideal: float,
 ) -> WorkerPolicyReport:
     measured = [found for found in answers if found.planned.at_s >= WARM_UP_S]
     ratios = [_ratio(found, deployment) for found in measured if _is_completed(found)]
@@ -147,6 +167,7 @@
         load=settings.load,
         jobs=len(measured),
         on_time=mean(found.is_on_time for found in measured),
+        on_time_ideal=on_time_ideal,
         on_time_of_work=on_time_s / sum(work_s.values()),
         on_time_worst_kind=min(
             mean(found.is_on_time for found in measured if found.planned.kind == kind.name)
