Renew leases on demand, with four assigned entries to an agent

Cause: each agent exchanged five challenges a second with every entry, and reported each change of its free capacity to all of them.

Change: an agent is assigned to the four connected entries that it prefers by rendezvous hashing. Only these always have its lease and its reports. Any other entry gets a frame in an interval that grows with the number of entries, and a lease when it sends an order: the agent asks for it at once and starts the order when it is granted. An order that no lease covers cannot have started, so the entry places its task elsewhere without waiting for leases. An entry considers the agents that it heard of lately, those on the rack of the task's data and a sample of the others; these get a probe, an order that a full worker refuses after 40 ms. Open orders are indexed by job. A task that only certain workers may run does not block those behind it.

The test of the order of starts took two starts of one instant for ordered; it now lets each run wait for the one before.

--- a/persimmoncrank/bench/_worker_baselines.py
+++ b/persimmoncrank/bench/_worker_baselines.py
@@ -19,9 +19,9 @@
 
 def _by_score(score: Score) -> ChooseWorker:
     def choose(
-        task: JobTask, links: Iterable[AgentLink], *, withdrawn: Iterable[str]
+        task: JobTask, links: Iterable[AgentLink], *, withdrawn: Iterable[str], now_s: float
     ) -> AgentLink | None:
-        eligible = workers_with_capacity(task, links, withdrawn=frozenset(withdrawn))
+        eligible = workers_with_capacity(task, links, withdrawn=frozenset(withdrawn), now_s=now_s)
         return min(eligible, key=lambda link: score(task, link), default=None)
 
     return choose
@@ -47,9 +47,11 @@
     rng = random.Random(f"{seed}/two choices")
 
     def choose(
-        task: JobTask, links: Iterable[AgentLink], *, withdrawn: Iterable[str]
+        task: JobTask, links: Iterable[AgentLink], *, withdrawn: Iterable[str], now_s: float
     ) -> AgentLink | None:
-        eligible = list(workers_with_capacity(task, links, withdrawn=frozenset(withdrawn)))
+        eligible = list(
+            workers_with_capacity(task, links, withdrawn=frozenset(withdrawn), now_s=now_s)
+        )
         pair = rng.sample(eligible, min(2, len(eligible)))
         return max(pair, key=lambda link: link.free_share, default=None)
 
--- a/persimmoncrank/commands/dispatch.py
+++ b/persimmoncrank/commands/dispatch.py
@@ -114,7 +114,9 @@
         incarnation=new_incarnation(settings.name), address=settings.stream_address
     )
     dispatcher = Dispatcher(
-        entry=entry, times=DispatchTimes(entry_lease_s=lease_s, worker_lease_s=lease_s)
+        entry=entry,
+        times=DispatchTimes(entry_lease_s=lease_s, worker_lease_s=lease_s),
+        remote_data_factor=settings.remote_data_factor,
     )
     follower = TableFollower(
         table=store.operator_table,
--- a/persimmoncrank/coordination/dispatch/_agent_link.py
+++ b/persimmoncrank/coordination/dispatch/_agent_link.py
@@ -13,14 +13,24 @@
 
 log = logging.getLogger(__name__)
 
+CURRENT_WITHIN_S = (
+    0.4  # two intervals between the frames of an agent that is assigned to this entry
+)
+FIRST_ANSWER_S = 0.35  # an agent asks for a lease at once when it gets an order without having one
+
 
 @dataclass(kw_only=True, slots=True)
 class OpenOrder:
-    """An order whose outcome the agent has not reported yet."""
+    """An order whose outcome the agent has not reported yet.
+
+    A probe was sent without knowing the worker's free capacity.
+    """
 
     task: JobTask
     order: TaskOrder
+    is_probe: bool = False
     is_sent: bool = False
+    sent_at_s: float = 0.0
     is_stopping: bool = False
 
 
@@ -28,6 +38,8 @@
 class AgentLink:
     """The state kept for one incarnation of an agent.
 
+    ``heard_at_s`` is the time of its last frame. While it holds no order, its next frame may take
+    ``next_within_s``. ``engaged_at_s`` is when it got an order while it held none.
     ``lease_renewed_at_s`` is when this entry last renewed its lease at the agent. If the stream
     breaks, the orders count as lost only after both that lease and the worker's have expired.
     """
@@ -37,6 +49,10 @@
     report: WorkerReport | None = None
     orders: dict[int, OpenOrder] = field(default_factory=dict)
     lease_renewed_at_s: float = 0.0
+    heard_at_s: float = 0.0
+    next_within_s: float = 0.0
+    engaged_at_s: float = 0.0
+    probe_after_s: float = 0.0
     seen_event: int = 0
     sent_config_version: int = -1
     sent_entries_version: int = -1
@@ -61,9 +77,30 @@
             return 0.0
         return max(self._free.cpu_millis, 0) / self.report.capacity.cpu_millis
 
-    def attach_stream(self, hello: AgentHello) -> list[OpenOrder]:
-        """Reset the state for a new stream; return the sent orders that the agent does not hold."""
+    def is_current(self, *, now_s: float) -> bool:
+        """Return whether the last frame is recent, so that its report still describes the worker.
+
+        Agents send frames at short intervals to the entries that they are assigned to.
+        """
+        return now_s <= self.heard_at_s + CURRENT_WITHIN_S
+
+    def is_silent(self, *, now_s: float, lease_s: float) -> bool:
+        """Return whether the agent should have sent a frame by now."""
+        if not self.orders:
+            return now_s > self.heard_at_s + lease_s + self.next_within_s
+        if self.heard_at_s < self.engaged_at_s:
+            return now_s > max(self.engaged_at_s + FIRST_ANSWER_S, self.heard_at_s + lease_s)
+        return now_s > self.heard_at_s + lease_s
+
+    def attach_stream(self, hello: AgentHello, *, now_s: float) -> list[OpenOrder]:
+        """Reset the state for a new stream; return the sent orders that the agent does not hold.
+
+        Orders that the agent holds but this entry has given up are stopped before any lease is
+        granted.
+        """
         self.hello = hello
+        self.heard_at_s = now_s
+        self._pending_stops = [key for key in hello.held if key not in self.orders]
         self.is_connected = True
         self.sent_config_version = -1
         self.sent_entries_version = -1
@@ -95,8 +132,10 @@
             free = free - demand
         self._free = free
 
-    def queue_start(self, order: OpenOrder) -> None:
+    def queue_start(self, order: OpenOrder, *, now_s: float) -> None:
         """Add an order to the next frame and reserve its resources."""
+        if not self.orders:
+            self.engaged_at_s = now_s
         self.orders[order.order.order_id] = order
         self._pending_starts.append(order.order)
         self._free = self._free - order.order.demand
@@ -127,6 +166,7 @@
             self.lease_renewed_at_s = now_s
         for order in self._pending_starts:
             self.orders[order.order_id].is_sent = True
+            self.orders[order.order_id].sent_at_s = now_s
         frame = EntryFrame(
             entry=entry,
             challenge=self._pending_challenge,
--- a/persimmoncrank/coordination/dispatch/_agent_streams.py
+++ b/persimmoncrank/coordination/dispatch/_agent_streams.py
@@ -10,6 +10,7 @@
 import anyio
 
 from persimmoncrank.coordination.dispatch._agent_link import AgentLink, OpenOrder
+from persimmoncrank.coordination.dispatch._worker_index import WorkerIndex
 from persimmoncrank.protocol import (
     AgentFrame,
     EntryAddress,
@@ -43,6 +44,11 @@
         """Time from the last lease renewal until all runs of an unreachable agent have ended."""
         return self.entry_lease_s + self.worker_lease_s * CLOCK_DRIFT_FACTOR + STOP_MARGIN_S
 
+    @property
+    def lease_expired_after_s(self) -> float:
+        """Time from the last lease renewal until the agent certainly has no lease."""
+        return self.entry_lease_s * CLOCK_DRIFT_FACTOR + STOP_MARGIN_S
+
 
 class AgentStreams:
     """The agents with a stream to this entry, and those whose leases may still be valid."""
@@ -57,6 +63,7 @@
     ) -> None:
         """Create the streams; the callables are notified of ended orders and of other updates."""
         self.links: dict[str, AgentLink] = {}
+        self.index = WorkerIndex()
         self._entry = entry
         self._times = times
         self._on_order_end = on_order_end
@@ -99,7 +106,9 @@
         elif link.stream_scope is not None:
             link.stream_scope.cancel()
             self._detach_stream(link)
-        for order in link.attach_stream(frame.hello):
+        missing = link.attach_stream(frame.hello, now_s=anyio.current_time())
+        self.index.add(link)
+        for order in missing:
             self._on_order_end(order, OrderOutcome.LOST, "the agent does not hold the order", link)
         log.info(
             "entry: stream of agent opened agent=%s domain=%s",
@@ -121,6 +130,7 @@
         )
 
     def _detach_stream(self, link: AgentLink) -> None:
+        self.index.remove(link)
         for order in link.detach_stream():
             self._on_order_end(order, OrderOutcome.NOT_STARTED, "the order was never sent", link)
         log.warning(
@@ -134,13 +144,12 @@
             group.start_soon(self._send_frames, link, stream)
             while True:
                 try:
-                    with anyio.fail_after(self._times.entry_lease_s):
-                        frame = await stream.receive()
-                except (StreamClosedError, TimeoutError) as error:
+                    frame = await stream.receive()
+                except StreamClosedError as error:
                     log.info(
                         "entry: stream of agent closed agent=%s cause=%s",
                         link.hello.incarnation,
-                        str(error) or "no frame within the lease",
+                        error,
                     )
                     break
                 self._handle_frame(link, frame)
@@ -181,6 +190,8 @@
         )
 
     def _handle_frame(self, link: AgentLink, frame: AgentFrame) -> None:
+        link.heard_at_s = anyio.current_time()
+        link.next_within_s = frame.next_within_s
         link.queue_challenge_reply(frame.challenge)
         for order_id in frame.started:
             order = link.orders.get(order_id)
@@ -192,6 +203,7 @@
             link.apply_report(frame.report)
             if frame.report.is_accepting:
                 self._drop_earlier_incarnations(link)
+        self.index.touch(link)
         self._on_update()
 
     def _drop_earlier_incarnations(self, link: AgentLink) -> None:
@@ -215,6 +227,16 @@
     def expire_links(self, now_s: float) -> None:
         """Drop disconnected agents once their leases have expired; their open orders are lost."""
         for link in list(self.links.values()):
+            if link.stream_scope is not None and link.is_silent(
+                now_s=now_s, lease_s=self._times.entry_lease_s
+            ):
+                log.info(
+                    "entry: agent silent agent=%s silent_ms=%d open_orders=%d",
+                    link.hello.incarnation,
+                    (now_s - link.heard_at_s) * 1000,
+                    len(link.orders),
+                )
+                link.stream_scope.cancel()
             lost_at_s = link.lease_renewed_at_s + self._times.orders_lost_after_s
             if not link.is_connected and now_s >= lost_at_s:
                 self._drop_link(link, "the agent is out of reach")
@@ -228,4 +250,15 @@
         )
         del self.links[link.hello.incarnation]
         for order in list(link.orders.values()):
-            self._on_order_end(order, OrderOutcome.LOST, cause, link)
+            self._on_order_end(order, self._outcome_of_dropped(order, link), cause, link)
+
+    def _outcome_of_dropped(self, order: OpenOrder, link: AgentLink) -> OrderOutcome:
+        """Return how an order of an unreachable agent ended.
+
+        An order that was sent when the agent had no lease has not started: the agent starts it only
+        under a lease that it asks for after the order has arrived, and none was granted since.
+        """
+        no_lease_after_s = link.lease_renewed_at_s + self._times.lease_expired_after_s
+        if order.sent_at_s > no_lease_after_s:
+            return OrderOutcome.NOT_STARTED
+        return OrderOutcome.LOST
--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -14,6 +14,8 @@
     ChooseWorker,
     choose_worker,
     is_eligible,
+    is_near_data,
+    run_time_s,
 )
 from persimmoncrank.coordination.dispatch._worker_jobs import (
     JobRun,
@@ -42,6 +44,10 @@
 
 CHECK_INTERVAL_S = 0.05
 RETRY_AFTER_MS = 1_000
+# A probe may wait this long at a full worker, where a task of high priority gets the next room.
+PROBE_WAIT_S = 0.04
+PROBE_PAUSE_S = 1.0  # after a worker has refused a probe
+MAX_UNPLACED_STEPS = 8  # per pass; bounds its cost when most tasks wait for certain workers
 LEAVING_ESTIMATE_FACTOR = 2.0  # allows for slow workers and for errors of the estimates
 # Share of a job's objective; an agent whose stream broke reconnects within that time.
 NO_WORKER_TIMEOUT_SHARE = 0.25
@@ -51,10 +57,16 @@
     """Coordinates the jobs submitted to one entry."""
 
     def __init__(
-        self, *, entry: EntryAddress, times: DispatchTimes, choose: ChooseWorker = choose_worker
+        self,
+        *,
+        entry: EntryAddress,
+        times: DispatchTimes,
+        choose: ChooseWorker = choose_worker,
+        remote_data_factor: float = 1.0,
     ) -> None:
         """Create a dispatcher without agents and queues."""
         self.entry = entry
+        self._remote_data_factor = remote_data_factor
         self.jobs: dict[str, JobRun] = {}
         self.pending: list[JobTask] = []
         self.queues = QueueTable()
@@ -187,17 +199,27 @@
         for number, step in enumerate(job.steps):
             for index in range(step.count):
                 ref = TaskRef(job_id=job.job_id, step=number, index=index)
-                run.tasks.append(JobTask(job=run, ref=ref, step=step, nominal_s=nominal_s[number]))
+                run.tasks.append(
+                    JobTask(
+                        job=run,
+                        ref=ref,
+                        step=step,
+                        nominal_s=nominal_s[number],
+                        remote_data_factor=self._remote_data_factor,
+                    )
+                )
         self.jobs[job.job_id] = run
         self.counters.jobs_admitted += 1
         log.info(
-            "entry: job admitted job=%s queue=%s queues_version=%d tasks=%d chain_ms=%d pending=%d",
+            "entry: job admitted job=%s queue=%s queues_version=%d tasks=%d chain_ms=%d pending=%d"
+            " rack=%s",
             job.job_id,
             job.queue.name,
             self.queues.version,
             len(run.tasks),
             run.critical_path_s * 1000,
             len(self.pending),
+            job.steps[0].rack or "none",
         )
         self._add_pending(run.release_ready_tasks())
         self._place_pending()
@@ -236,10 +258,9 @@
             self.counters.jobs_failed[error.kind if error else ErrorKind.TASK_FAILED] += 1
 
     def _stop_orders(self, run: JobRun) -> None:
-        for link in self.links.values():
-            for order in link.orders.values():
-                if order.task.job is run:
-                    link.queue_stop(order)
+        for order_id, agent in run.open_orders.items():
+            link = self.links[agent]
+            link.queue_stop(link.orders[order_id])
 
     def abort_jobs(self, cause: str) -> None:
         """Fail all running jobs and stop their open orders."""
@@ -258,20 +279,33 @@
             self._place_pending()
 
     def _place_pending(self) -> None:
-        """Place pending tasks in order until no worker has capacity for the next one."""
-        links = list(self.links.values())
-        placed = 0
-        for task in self.pending:
-            link = self._choose(task, links, withdrawn=self.withdrawn)
-            if link is None:
+        """Place pending tasks in order until no worker has capacity for the next one.
+
+        A task that only certain workers may run, or run in time, does not block the tasks behind
+        it; its agents start waiting orders by priority.
+        """
+        now_s = anyio.current_time()
+        unplaced: list[JobTask] = []
+        for number, task in enumerate(self.pending):
+            if any(other.step is task.step for other in unplaced):
+                unplaced.append(task)
+                continue
+            links = self.streams.index.candidates(task.step.label or task.step.rack, now_s=now_s)
+            link = self._choose(task, links, withdrawn=self.withdrawn, now_s=now_s)
+            if link is not None:
+                self._order_task(task, link, now_s=now_s)
+                continue
+            unplaced.append(task)
+            steps = {id(other.step) for other in unplaced}
+            if not _is_selective(task) or len(steps) >= MAX_UNPLACED_STEPS:
+                unplaced += self.pending[number + 1 :]
                 break
-            self._order_task(task, link)
-            placed += 1
-        del self.pending[:placed]
+        self.pending = unplaced
 
-    def _order_task(self, task: JobTask, link: AgentLink) -> None:
+    def _order_task(self, task: JobTask, link: AgentLink, *, now_s: float) -> None:
         job, report = task.job, link.report
-        now_s = anyio.current_time()
+        is_probe = not link.is_current(now_s=now_s)
+        start_within_s = max(job.useful_until_s - now_s, 0.0)
         order = TaskOrder(
             order_id=next(self._order_ids),
             worker_incarnation=report.worker_incarnation if report else 0,
@@ -280,21 +314,26 @@
             demand=task.demand,
             priority=job.job.queue.priority,
             rank=job.latest_start_s - now_s,
-            nominal_s=task.nominal_s,
-            start_within_s=max(job.useful_until_s - now_s, 0.0),
+            nominal_s=run_time_s(task, link),
+            start_within_s=min(start_within_s, PROBE_WAIT_S) if is_probe else start_within_s,
         )
         task.state = TaskState.ORDERED
         task.order_id = order.order_id
-        link.queue_start(OpenOrder(task=task, order=order))
+        open_order = OpenOrder(task=task, order=order, is_probe=is_probe)
+        job.open_orders[order.order_id] = link.hello.incarnation
+        link.queue_start(open_order, now_s=now_s)
         self.counters.tasks_placed += 1
         log.info(
-            "placement: task ordered job=%s task=%d.%d worker=%s slowness=%.2f free_cpu=%d",
+            "placement: task ordered job=%s task=%d.%d worker=%s slowness=%.2f free_cpu=%d"
+            " report_age_ms=%d near_data=%s",
             task.ref.job_id,
             task.ref.step,
             task.ref.index,
             report.worker if report else "none",
             report.slowness if report else 1.0,
             link.free.cpu_millis,
+            (now_s - link.heard_at_s) * 1000,
+            is_near_data(task, link) if task.step.rack else "any",
         )
 
     # Ends of orders.
@@ -308,6 +347,11 @@
     ) -> None:
         """Mark the task of an ended order as done, fail its job, or place the task again."""
         task, run = order.task, order.task.job
+        run.open_orders.pop(order.order.order_id, None)
+        if order.is_probe and outcome is OrderOutcome.NOT_STARTED:
+            task.probes += 1
+            if link is not None:
+                link.probe_after_s = anyio.current_time() + PROBE_PAUSE_S
         if outcome is not OrderOutcome.NOT_STARTED:
             run.may_have_started = True
         if run.is_answered or run.is_abandoned or task.order_id != order.order.order_id:
@@ -371,7 +415,7 @@
             run.is_abandoned = True
             self.pending = [task for task in self.pending if task.job is not run]
             self._stop_orders(run)
-        if self._has_open_orders(run):
+        if run.open_orders:
             return
         if run.may_have_started:
             self._abort(run, "the job started too late")
@@ -386,13 +430,12 @@
             return True
         if now_s < run.arrived_at_s + NO_WORKER_TIMEOUT_SHARE * run.objective_s:
             return False
-        return not self._has_open_orders(run) and not self._has_workers_for_pending(run)
+        return not run.open_orders and not self._has_workers_for_pending(run)
 
     def _has_workers_for_pending(self, run: JobRun) -> bool:
         """Return whether each pending task has an eligible worker."""
-        return all(
-            self._has_eligible_worker(task) for task in run.tasks if task.state is TaskState.PENDING
-        )
+        tasks = {id(task.step): task for task in run.tasks if task.state is TaskState.PENDING}
+        return all(self._has_eligible_worker(task) for task in tasks.values())
 
     def _describe_shortage(self, run: JobRun) -> str:
         return (
@@ -401,11 +444,6 @@
             else "no worker may run it"
         )
 
-    def _has_open_orders(self, run: JobRun) -> bool:
-        return any(
-            order.task.job is run for link in self.links.values() for order in link.orders.values()
-        )
-
     def _has_eligible_worker(self, task: JobTask) -> bool:
         """Return whether a connected worker may run a task."""
         return any(
@@ -413,6 +451,11 @@
         )
 
 
+def _is_selective(task: JobTask) -> bool:
+    """Return whether only some workers may run a task, or run it in time."""
+    return bool(task.step.label or task.step.rack or task.step.max_per_worker)
+
+
 def _placement_key(task: JobTask) -> tuple[int, float]:
     return task.placement_key
 
--- a/persimmoncrank/coordination/dispatch/_worker_choice.py
+++ b/persimmoncrank/coordination/dispatch/_worker_choice.py
@@ -1,4 +1,8 @@
-"""Selects the worker for a task from the reports of all workers."""
+"""Selects the worker for a task from the reports of the workers.
+
+Load patterns: short wide jobs whose data is on one rack beside long ones that need a fast worker,
+while several entries use the same workers and most reports are older than a task takes.
+"""
 
 from __future__ import annotations
 
@@ -17,6 +21,8 @@
 
 # Expected wait for capacity at a fully used worker, see docs/design/placement.md.
 FULL_WORKER_WAIT_S = 0.4
+UNKNOWN_FREE_SHARE = 0.4
+MAX_PROBES = 4  # per task; each refused probe costs two round trips
 
 ChooseWorker = Callable[..., "AgentLink | None"]
 
@@ -35,11 +41,15 @@
 
 
 def workers_with_capacity(
-    task: JobTask, links: Iterable[AgentLink], *, withdrawn: Collection[str]
+    task: JobTask, links: Iterable[AgentLink], *, withdrawn: Collection[str], now_s: float
 ) -> Iterator[AgentLink]:
-    """Yield the workers that may run a task now; a suspect worker gets one order at a time."""
+    """Yield the workers that may run a task now; a suspect worker gets one order at a time.
+
+    A worker whose free capacity is not known any more may be probed with an order that it refuses
+    if it is full.
+    """
     for link in links:
-        if not task.demand.fits_in(link.free):
+        if not (_has_capacity(task, link, now_s=now_s) or _may_probe(task, link, now_s=now_s)):
             continue
         if not is_eligible(task, link, withdrawn=withdrawn) or _is_at_step_limit(task, link):
             continue
@@ -47,25 +57,63 @@
             yield link
 
 
+def _has_capacity(task: JobTask, link: AgentLink, *, now_s: float) -> bool:
+    return link.is_current(now_s=now_s) and task.demand.fits_in(link.free)
+
+
+def _may_probe(task: JobTask, link: AgentLink, *, now_s: float) -> bool:
+    return (
+        not link.is_current(now_s=now_s)
+        and task.probes < MAX_PROBES
+        and now_s >= link.probe_after_s
+        and not link.orders
+    )
+
+
+def run_time_s(task: JobTask, link: AgentLink) -> float:
+    """Return the expected run time of a task on a worker of average speed, far from its data."""
+    if task.step.rack and not is_near_data(task, link):
+        return task.nominal_s * task.remote_data_factor
+    return task.nominal_s
+
+
+def is_near_data(task: JobTask, link: AgentLink) -> bool:
+    """Return whether a worker is on the rack of the task's data."""
+    return link.report is not None and task.step.rack in link.report.labels
+
+
 def choose_worker(
-    task: JobTask, links: Iterable[AgentLink], *, withdrawn: Collection[str]
+    task: JobTask, links: Iterable[AgentLink], *, withdrawn: Collection[str], now_s: float
 ) -> AgentLink | None:
     """Return the worker with free capacity where the task should end first, or None.
 
     Workers that failed this task come last, and so do suspect ones, which fail most of what they
     start. The expected time grows with the used share of a worker, since other entries send orders
-    to it too and an order that does not fit has to wait.
+    to it too and an order that does not fit has to wait. A task waits for a worker near its data
+    as long as only such a worker can end it on time.
     """
-    found = workers_with_capacity(task, links, withdrawn=withdrawn)
-    return min(found, key=lambda link: _preference_key(task, link), default=None)
+    found = workers_with_capacity(task, links, withdrawn=withdrawn, now_s=now_s)
+    best = min(found, key=lambda link: _preference_key(task, link, now_s=now_s), default=None)
+    if best is not None and _should_wait_for_data(task, best, now_s=now_s):
+        return None
+    return best
+
+
+def _should_wait_for_data(task: JobTask, link: AgentLink, *, now_s: float) -> bool:
+    if not task.step.rack or is_near_data(task, link):
+        return False
+    on_time_until_s = task.job.arrived_at_s + task.job.objective_s
+    ends_late = now_s + run_time_s(task, link) > on_time_until_s
+    return ends_late and now_s + task.nominal_s <= on_time_until_s
 
 
-def _preference_key(task: JobTask, link: AgentLink) -> tuple[bool, bool, float]:
+def _preference_key(task: JobTask, link: AgentLink, *, now_s: float) -> tuple[bool, bool, float]:
     report = link.report
     if report is None:
         return (True, True, math.inf)
-    run_s = task.nominal_s * report.slowness
-    wait_s = FULL_WORKER_WAIT_S * (1 - link.free_share)
+    run_s = run_time_s(task, link) * report.slowness
+    free_share = link.free_share if link.is_current(now_s=now_s) else UNKNOWN_FREE_SHARE
+    wait_s = FULL_WORKER_WAIT_S * (1 - free_share)
     return (
         report.worker in task.failed_workers,
         report.is_suspect,
--- a/persimmoncrank/coordination/dispatch/_worker_jobs.py
+++ b/persimmoncrank/coordination/dispatch/_worker_jobs.py
@@ -26,7 +26,11 @@
 
 @dataclass(kw_only=True, slots=True, eq=False)
 class JobTask:
-    """A task of a job, with its newest order and the workers on which it has failed."""
+    """A task of a job, with its newest order and the workers on which it has failed.
+
+    ``probes`` counts the orders that a worker of unknown free capacity refused. Far from its data,
+    the task takes ``remote_data_factor`` times as long.
+    """
 
     job: JobRun
     ref: TaskRef
@@ -35,6 +39,8 @@
     state: TaskState = TaskState.BLOCKED
     order_id: int = 0
     failures: int = 0
+    probes: int = 0
+    remote_data_factor: float = 1.0
     failed_workers: set[str] = field(default_factory=set)
 
     @property
@@ -53,6 +59,7 @@
     """A running job.
 
     ``is_abandoned`` is set if the job cannot be served; it is answered after its orders have ended.
+    ``open_orders`` maps the ids of the orders that have not ended to the agents' incarnations.
     """
 
     job: WorkerJob
@@ -63,6 +70,7 @@
     answer: WorkerJobAnswer | None = None
     may_have_started: bool = False
     is_abandoned: bool = False
+    open_orders: dict[int, str] = field(default_factory=dict)
 
     @property
     def objective_s(self) -> float:
--- a/persimmoncrank/coordination/execution/_entry_links.py
+++ b/persimmoncrank/coordination/execution/_entry_links.py
@@ -1,8 +1,15 @@
-"""The agent's streams to all entries, and the leases that are renewed over them."""
+"""The agent's streams to all entries, and the leases that are renewed over them.
+
+A lease is renewed five times a second only for the few entries that the agent is assigned to, and
+for those whose orders it holds. To any other entry the agent sends a frame once in a while, and the
+interval grows with the number of entries. So the traffic of an agent depends on its orders, not on
+the number of entries.
+"""
 
 from __future__ import annotations
 
 import logging
+import math
 from typing import TYPE_CHECKING
 
 import anyio
@@ -16,6 +23,7 @@
     StreamClosedError,
     WorkerReport,
 )
+from persimmoncrank.state import rendezvous_score
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -33,6 +41,10 @@
 REDIAL_INTERVAL_S = 0.2
 ADDRESS_EXPIRY_S = 20.0
 MIN_LEASE_CHECK_INTERVAL_S = 0.001
+ASSIGNED_ENTRIES = 4
+IDLE_INTERVAL_PER_ENTRY_S = 0.12  # an agent sends at most 9 idle frames per second in all
+MIN_IDLE_INTERVAL_S = 1.0
+MAX_IDLE_INTERVAL_S = 10.0
 
 
 class EntryLinks:
@@ -47,6 +59,7 @@
         lease_clock: Callable[[], float],
         report: Callable[[EntrySession], WorkerReport | None],
         held_orders: Callable[[str], tuple[int, ...]],
+        order_owners: Callable[[], set[str]],
         on_frame: Callable[[EntrySession, EntryFrame], None],
         on_lease_lost: Callable[[EntrySession, str], None],
     ) -> None:
@@ -58,6 +71,7 @@
         self._lease_clock = lease_clock
         self._report = report
         self._held_orders = held_orders
+        self._order_owners = order_owners
         self._on_frame = on_frame
         self._on_lease_lost = on_lease_lost
         self._seeds: set[str] = set()
@@ -92,10 +106,41 @@
         return session is not None and session.has_lease(now_s=self._lease_clock())
 
     def wake_senders(self) -> None:
-        """Wake the sender of each stream to send what has changed."""
+        """Send what has changed to the assigned entries and to those with orders here."""
+        owners = self._order_owners()
+        for session in self.sessions.values():
+            if session.is_assigned or session.incarnation in owners:
+                session.update_pending.set()
+
+    def wake_all_senders(self) -> None:
+        """Send what has changed to all entries, for example that the worker is draining."""
         for session in self.sessions.values():
             session.update_pending.set()
 
+    def _assign_entries(self) -> None:
+        """Assign the agent to the connected entries that it prefers."""
+        connected = [session for session in self.sessions.values() if session.is_connected]
+        connected.sort(
+            key=lambda session: rendezvous_score(self._agent.agent, session.address), reverse=True
+        )
+        assigned = {session.incarnation for session in connected[:ASSIGNED_ENTRIES]}
+        for session in self.sessions.values():
+            was_assigned = session.is_assigned
+            session.is_assigned = session.incarnation in assigned
+            if session.is_assigned and not was_assigned:
+                log.info("agent: assigned to entry entry=%s", session.incarnation)
+                session.wake()
+
+    def _challenge_interval_s(self, session: EntrySession) -> float:
+        """Return the time between two challenges to an entry."""
+        if session.is_assigned or session.incarnation in self._order_owners():
+            return CHALLENGE_INTERVAL_S
+        return self._idle_interval_s()
+
+    def _idle_interval_s(self) -> float:
+        interval_s = IDLE_INTERVAL_PER_ENTRY_S * len(self.sessions)
+        return min(max(interval_s, MIN_IDLE_INTERVAL_S), MAX_IDLE_INTERVAL_S)
+
     async def _maintain_stream(self, address: str) -> None:
         while self._should_dial(address):
             try:
@@ -104,6 +149,8 @@
                 log.debug("agent: connecting to entry failed address=%s cause=%s", address, error)
             await anyio.sleep(REDIAL_INTERVAL_S)
         del self._last_frame_at_s[address]
+        for session in [s for s in self.sessions.values() if s.address == address]:
+            self._close_session(session, "its address expired")
         log.info("agent: entry address expired address=%s", address)
 
     def _should_dial(self, address: str) -> bool:
@@ -126,10 +173,17 @@
             )
             await stream.send(AgentFrame(hello=hello))
             self._handle_frame(session, address, frame)
-            async with anyio.create_task_group() as group:
-                group.start_soon(self._send_frames, session, stream)
-                await self._receive_frames(session, address, stream)
-                group.cancel_scope.cancel()
+            session.is_connected = True
+            self._assign_entries()
+            try:
+                async with anyio.create_task_group() as group:
+                    group.start_soon(self._send_frames, session, stream)
+                    group.start_soon(self._watch_silence, session, group.cancel_scope)
+                    await self._receive_frames(session, address, stream)
+                    group.cancel_scope.cancel()
+            finally:
+                session.is_connected = False
+                self._assign_entries()
         log.info("agent: stream to entry closed entry=%s", session.incarnation)
 
     def _open_session(self, incarnation: str, address: str) -> EntrySession:
@@ -147,21 +201,38 @@
     async def _receive_frames(
         self, session: EntrySession, address: str, stream: MessageStream
     ) -> None:
-        """Receive frames until the stream closes or none arrives for a lease period."""
+        """Receive frames until the stream closes."""
         while True:
             try:
-                with anyio.fail_after(self._lease_s):
-                    frame = await stream.receive()
-            except (StreamClosedError, TimeoutError) as error:
-                cause = str(error) or "no frame within the lease"
+                frame = await stream.receive()
+            except StreamClosedError as error:
                 log.warning(
-                    "agent: stream to entry lost entry=%s cause=%s", session.incarnation, cause
+                    "agent: stream to entry lost entry=%s cause=%s", session.incarnation, error
                 )
                 return
             self._handle_frame(session, address, frame)
 
+    async def _watch_silence(self, session: EntrySession, scope: anyio.CancelScope) -> None:
+        """Cancel the stream if a challenge is not answered within a lease period."""
+        while True:
+            interval_s = self._challenge_interval_s(session)
+            limit_s = self._lease_s + (interval_s if interval_s > CHALLENGE_INTERVAL_S else 0.0)
+            silent_s = anyio.current_time() - session.heard_at_s
+            if silent_s >= limit_s:
+                log.warning(
+                    "agent: stream to entry lost entry=%s cause=no frame for %.2f s",
+                    session.incarnation,
+                    silent_s,
+                )
+                scope.cancel()
+                return
+            await anyio.sleep(
+                min(max(limit_s - silent_s, MIN_LEASE_CHECK_INTERVAL_S), self._lease_s)
+            )
+
     def _handle_frame(self, session: EntrySession, address: str, frame: EntryFrame) -> None:
-        self._last_frame_at_s[address] = anyio.current_time()
+        session.heard_at_s = anyio.current_time()
+        self._last_frame_at_s[address] = session.heard_at_s
         session.apply_frame(frame)
         for entry in frame.entries:
             self.add_address(entry.address)
@@ -169,15 +240,20 @@
 
     async def _send_frames(self, session: EntrySession, stream: MessageStream) -> None:
         """Send ends of orders at once; batch other updates for up to ``REPORT_INTERVAL_S``."""
-        next_challenge_at_s = 0.0
+        challenged_at_s = -math.inf
         while True:
             now_s = anyio.current_time()
-            with_challenge = now_s >= next_challenge_at_s
+            interval_s = self._challenge_interval_s(session)
+            with_challenge = now_s >= challenged_at_s + interval_s
             if with_challenge:
-                next_challenge_at_s = now_s + CHALLENGE_INTERVAL_S
+                challenged_at_s = now_s
+            next_challenge_at_s = challenged_at_s + interval_s
             session.update_pending, session.urgent_update_pending = anyio.Event(), anyio.Event()
             frame = session.next_frame(
-                self._report(session), now_s=self._lease_clock(), with_challenge=with_challenge
+                self._report(session),
+                now_s=self._lease_clock(),
+                with_challenge=with_challenge,
+                next_within_s=0.0 if session.is_assigned else self._idle_interval_s(),
             )
             if frame is not None:
                 try:
@@ -211,5 +287,7 @@
         self._handle_lease_loss(session, cause)
 
     def _handle_lease_loss(self, session: EntrySession, cause: str) -> None:
-        log.warning("agent: entry lost entry=%s cause=%s", session.incarnation, cause)
-        self._on_lease_lost(session, cause)
+        """Stop the entry's runs; the lease of an entry without any expires between its orders."""
+        if session.is_assigned or session.incarnation in self._order_owners():
+            log.warning("agent: entry lost entry=%s cause=%s", session.incarnation, cause)
+            self._on_lease_lost(session, cause)
--- a/persimmoncrank/coordination/execution/_entry_session.py
+++ b/persimmoncrank/coordination/execution/_entry_session.py
@@ -14,12 +14,16 @@
 log = logging.getLogger(__name__)
 
 MAX_UNANSWERED_CHALLENGES = 64
+RENEWAL_SHARE = 0.35  # of a lease: its renewal may take that long
 
 
 @dataclass(kw_only=True)
 class EntrySession:
     """The lease and the pending events of one incarnation of an entry.
 
+    An assigned entry always has a lease and is told of each change of the worker's state; any other
+    entry only while the agent holds its orders.
+
     The lease starts when the agent sent the challenge that the entry answered, not when the answer
     arrives, so that a delayed answer does not extend it.
     """
@@ -29,6 +33,9 @@
     lease_s: float
     lease_until_s: float = 0.0
     orders_seen: int = 0
+    heard_at_s: float = 0.0
+    is_connected: bool = False
+    is_assigned: bool = False
     update_pending: anyio.Event = field(default_factory=anyio.Event)
     urgent_update_pending: anyio.Event = field(default_factory=anyio.Event)
     _challenges: OrderedDict[int, float] = field(default_factory=OrderedDict)
@@ -42,6 +49,15 @@
         """Return whether runs of the entry may start and continue."""
         return now_s < self.lease_until_s
 
+    def has_full_lease(self, *, now_s: float) -> bool:
+        """Return whether the lease lasts long enough to be renewed before it expires."""
+        return now_s < self.lease_until_s - RENEWAL_SHARE * self.lease_s
+
+    def wake(self) -> None:
+        """Send the next frame without waiting for further updates."""
+        self.update_pending.set()
+        self.urgent_update_pending.set()
+
     def queue_start_report(self, order_id: int) -> None:
         """Add a started order to the next frame."""
         self._started.append(order_id)
@@ -55,8 +71,7 @@
         self._unacked_ends[event_id] = OrderEnd(
             event_id=event_id, order_id=order_id, outcome=outcome, run_s=run_s, cause=cause
         )
-        self.update_pending.set()
-        self.urgent_update_pending.set()
+        self.wake()
 
     def unacked_order_ids(self) -> tuple[int, ...]:
         """Return the orders whose ends the entry has not acknowledged."""
@@ -69,7 +84,12 @@
         self._last_sent_report = None
 
     def next_frame(
-        self, report: WorkerReport | None, *, now_s: float, with_challenge: bool
+        self,
+        report: WorkerReport | None,
+        *,
+        now_s: float,
+        with_challenge: bool,
+        next_within_s: float = 0.0,
     ) -> AgentFrame | None:
         """Return a frame with unsent events and a changed report, or None if it would be empty."""
         started, self._started = tuple(self._started), []
@@ -88,6 +108,7 @@
             report=new_report,
             started=started,
             ended=ends,
+            next_within_s=next_within_s,
         )
 
     def _next_challenge(self, now_s: float) -> int:
--- a/persimmoncrank/coordination/execution/_worker_agent.py
+++ b/persimmoncrank/coordination/execution/_worker_agent.py
@@ -31,6 +31,8 @@
 log = logging.getLogger(__name__)
 
 DRAIN_POLL_INTERVAL_S = 0.02
+LEASE_WAIT_S = 0.5  # an order without a lease after this time came from an entry that is gone
+LEASE_WAIT_CHECK_INTERVAL_S = 0.1
 REPORTED_SLOWNESS_DIGITS = 2
 
 
@@ -77,12 +79,14 @@
             lease_clock=ports.lease_clock,
             report=self._report,
             held_orders=self._held_orders,
+            order_owners=self._order_owners,
             on_frame=self._on_frame,
             on_lease_lost=self._on_lease_lost,
         )
         self._ports = ports
         self._times = times
         self._heartbeat: WorkerHeartbeat | None = None
+        self._waiting_for_lease: list[Run] = []
         self._worker_changed = anyio.Event()
         self._is_leaving = False
         self._stop = anyio.Event()
@@ -92,6 +96,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self.links.run)
             group.start_soon(self._serve_incarnations)
+            group.start_soon(self._run_lease_wait_checks)
             await self._stop.wait()
             await self._wait_for_runs()
             group.cancel_scope.cancel()
@@ -100,10 +105,8 @@
         """Accept no more orders and return the queued ones; ``run`` ends once no run is active."""
         log.info("agent: draining agent=%s", self.hello.incarnation)
         self._is_leaving = True
-        if self.runner is not None:
-            for run in list(self.runner.ledger.queued):
-                self.runner.stop(run, "the agent is leaving")
-        self.links.wake_senders()
+        self._return_queued_orders("the agent is leaving")
+        self.links.wake_all_senders()
         self._stop.set()
 
     async def _wait_for_runs(self) -> None:
@@ -134,7 +137,7 @@
         elif known.is_draining != heartbeat.is_draining:
             log.info("agent: worker draining worker=%s", heartbeat.worker)
             self._return_queued_orders("the worker is draining")
-            self.links.wake_senders()
+            self.links.wake_all_senders()
         return True
 
     def handle_deregistration(self, worker: str) -> None:
@@ -160,14 +163,14 @@
                 events=RunnerCallbacks(
                     started=self._on_started,
                     ended=self._on_ended,
-                    changed=self.links.wake_senders,
+                    changed=self.links.wake_all_senders,
                     may_start=self._may_start,
                 ),
                 health=self._inherited_health(heartbeat),
             )
             await self.runner.run()
             self._previous_runner, self.runner = self.runner, None
-            self.links.wake_senders()
+            self.links.wake_all_senders()
 
     def _inherited_health(self, worker: WorkerHeartbeat) -> WorkerHealth | None:
         """Return the health carried over from a previous incarnation with the same profile."""
@@ -190,6 +193,7 @@
         )
 
     def _return_queued_orders(self, cause: str) -> None:
+        self._return_waiting_orders(list(self._waiting_for_lease), cause)
         if self.runner is not None:
             for run in list(self.runner.ledger.queued):
                 self.runner.stop(run, cause)
@@ -214,15 +218,57 @@
                 session.queue_end_report(order.order_id, OrderOutcome.NOT_STARTED, 0.0, cause)
             else:
                 run = Run(owner=session.incarnation, order=order, queued_at_s=now_s)
-                runner.submit(run)
-        if frame.stops and self.runner is not None:
-            wanted = set(frame.stops)
-            for run in self.runner.ledger.owned_by(session.incarnation):
-                if run.order.order_id in wanted:
-                    self.runner.stop(run, "the entry requested the stop")
+                self._waiting_for_lease.append(run)
+        if frame.stops:
+            self._stop_orders(session.incarnation, frozenset(frame.stops))
+        if self._waiting_for_lease:
+            self._submit_leased(session)
         if frame.starts or frame.stops:
             self.links.wake_senders()
 
+    def _stop_orders(self, entry: str, order_ids: frozenset[int]) -> None:
+        cause = "the entry requested the stop"
+        waiting = [run for run in self._waiting_for_lease if run.owner == entry]
+        self._return_waiting_orders(
+            [run for run in waiting if run.order.order_id in order_ids], cause
+        )
+        if self.runner is None:
+            return
+        for run in self.runner.ledger.owned_by(entry):
+            if run.order.order_id in order_ids:
+                self.runner.stop(run, cause)
+
+    def _submit_leased(self, session: EntrySession) -> None:
+        """Submit the waiting orders of an entry if the agent has its lease, else ask for it.
+
+        This comes after the stops of the same frame: an entry that grants a lease has sent stops
+        for all orders that it has given up.
+        """
+        if not session.has_full_lease(now_s=self._ports.lease_clock()):
+            session.wake()
+            return
+        now_s = anyio.current_time()
+        for run in [run for run in self._waiting_for_lease if run.owner == session.incarnation]:
+            self._waiting_for_lease.remove(run)
+            runner = self.runner
+            if runner is None or runner.worker.incarnation != run.order.worker_incarnation:
+                self._on_ended(run, OrderOutcome.NOT_STARTED, 0.0, "the worker restarted")
+            else:
+                run.queued_at_s = now_s
+                runner.submit(run)
+
+    def _return_waiting_orders(self, runs: Iterable[Run], cause: str) -> None:
+        for run in runs:
+            self._waiting_for_lease.remove(run)
+            self._on_ended(run, OrderOutcome.NOT_STARTED, 0.0, cause)
+
+    async def _run_lease_wait_checks(self) -> None:
+        while True:
+            await anyio.sleep(LEASE_WAIT_CHECK_INTERVAL_S)
+            overdue_s = anyio.current_time() - LEASE_WAIT_S
+            runs = [run for run in self._waiting_for_lease if run.queued_at_s <= overdue_s]
+            self._return_waiting_orders(runs, "the entry did not grant its lease")
+
     def _apply_config(self, frame: EntryFrame) -> None:
         if frame.withdrawn is None or frame.config_version < self.config_version:
             return
@@ -239,9 +285,17 @@
             self.links.wake_senders()
 
     def _held_orders(self, entry: str) -> tuple[int, ...]:
-        if self.runner is None:
-            return ()
-        return tuple(run.order.order_id for run in self.runner.ledger.owned_by(entry))
+        runs = [run for run in self._waiting_for_lease if run.owner == entry]
+        if self.runner is not None:
+            runs += self.runner.ledger.owned_by(entry)
+        return tuple(run.order.order_id for run in runs)
+
+    def _order_owners(self) -> set[str]:
+        """Return the incarnations of the entries whose orders the agent holds."""
+        owners = {run.owner for run in self._waiting_for_lease}
+        if self.runner is not None:
+            owners |= self.runner.ledger.owners()
+        return owners
 
     def _on_lease_lost(self, session: EntrySession, cause: str) -> None:
         if self.runner is not None:
--- a/persimmoncrank/coordination/execution/_worker_runner.py
+++ b/persimmoncrank/coordination/execution/_worker_runner.py
@@ -52,6 +52,7 @@
 LIST_WAIT_S = 0.15  # long poll: the worker answers earlier if a run has ended
 RETRY_DELAY_S = 0.02
 CHECK_INTERVAL_S = 0.05
+MIN_CHECK_INTERVAL_S = 0.001
 IDLE_CHECK_INTERVAL_S = 0.25
 FENCE_STEP = 1_000_000  # 1000 s, since an agent's first token is the Unix time in ms
 MAX_START_ATTEMPTS = 4
@@ -121,6 +122,7 @@
         self._listed_at_s = 0.0
         self._list_request_count = 0
         self._lease_extended_at_s = 0.0
+        self._queue_changed = anyio.Event()
         self._group: TaskGroup | None = None
 
     @property
@@ -162,6 +164,7 @@
         """Queue a run, then start the queued runs that fit."""
         self.ledger.add(run)
         self.start_queued()
+        self._queue_changed.set()
 
     def start_queued(self) -> None:
         """Start queued runs, in order, while the first of them fits."""
@@ -465,13 +468,20 @@
     async def _run_queue_checks(self) -> None:
         """Drop queued runs that can no longer start in time, and start those that fit."""
         while True:
-            is_idle = not self.ledger.queued
-            await anyio.sleep(IDLE_CHECK_INTERVAL_S if is_idle else CHECK_INTERVAL_S)
+            self._queue_changed = anyio.Event()
+            with anyio.move_on_after(self._next_queue_check_s()):
+                await self._queue_changed.wait()
             now_s = self._now()
             for run in [run for run in self.ledger.queued if run.start_deadline_s <= now_s]:
                 self._end_queued(run, "no capacity in time to start")
             self.start_queued()
 
+    def _next_queue_check_s(self) -> float:
+        if not self.ledger.queued:
+            return IDLE_CHECK_INTERVAL_S
+        first_deadline_s = min(run.start_deadline_s for run in self.ledger.queued)
+        return min(max(first_deadline_s - self._now(), MIN_CHECK_INTERVAL_S), CHECK_INTERVAL_S)
+
 
 def _log_args(run: Run) -> tuple[str, int, int, int]:
     ref = run.order.ref
--- a/persimmoncrank/coordination/membership/_entry_assignment.py
+++ b/persimmoncrank/coordination/membership/_entry_assignment.py
@@ -2,17 +2,17 @@
 
 from __future__ import annotations
 
-import hashlib
 import logging
 from typing import TYPE_CHECKING
 
+from persimmoncrank.state import rendezvous_score
+
 if TYPE_CHECKING:
     from persimmoncrank.protocol import EntryInfo
 
 log = logging.getLogger(__name__)
 
 ENTRIES_PER_AGENT = 2
-_SCORE_BYTES = 8
 
 
 def rank_entries(agent: str, entries: tuple[EntryInfo, ...]) -> list[EntryInfo]:
@@ -21,7 +21,9 @@
     The first two are in different failure domains if possible. Adding or removing an entry
     reassigns only the agents that have it among their assigned entries.
     """
-    ranked = sorted(entries, key=lambda entry: _score(agent, entry), reverse=True)
+    ranked = sorted(
+        entries, key=lambda entry: rendezvous_score(agent, entry.incarnation), reverse=True
+    )
     if len(ranked) <= ENTRIES_PER_AGENT:
         return ranked
     first = ranked[0]
@@ -31,8 +33,3 @@
     second = others[0]
     rest = [entry for entry in ranked if entry not in (first, second)]
     return [first, second, *rest]
-
-
-def _score(agent: str, entry: EntryInfo) -> bytes:
-    text = f"{agent}|{entry.incarnation}"
-    return hashlib.blake2b(text.encode(), digest_size=_SCORE_BYTES).digest()
--- a/persimmoncrank/protocol/_dispatch.py
+++ b/persimmoncrank/protocol/_dispatch.py
@@ -64,7 +64,8 @@
     ``order_id`` is unique within an entry's incarnation. ``worker_incarnation`` is the
     incarnation number of the worker that was chosen; another incarnation may be of a different
     service or kind. ``nominal_s`` is the expected time on a worker of speed 1. The order becomes
-    void if it has not started ``start_within_s`` after its arrival. ``rank`` orders waiting tasks
+    void if it has not started ``start_within_s`` after its arrival, or after the agent received the
+    entry's lease for it. ``rank`` orders waiting tasks
     of the same priority: the one with the least slack comes first.
     """
 
@@ -146,13 +147,18 @@
 
 
 class AgentFrame(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """One message from an agent; ``challenge`` requests a renewal of the entry's lease."""
+    """One message from an agent; ``challenge`` requests a renewal of the entry's lease.
+
+    ``next_within_s`` is the longest time until the agent's next frame while it holds no order of
+    the entry.
+    """
 
     challenge: int = 0
     hello: AgentHello | None = None
     report: WorkerReport | None = None
     started: tuple[int, ...] = ()
     ended: tuple[OrderEnd, ...] = ()
+    next_within_s: float = 0.0
 
 
 class EntryFrame(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/persimmoncrank/protocol/_queues.py
+++ b/persimmoncrank/protocol/_queues.py
@@ -51,7 +51,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Step:
-    """One step of a job: identical tasks that start once the steps in ``after`` are done."""
+    """One step of a job: identical tasks that start once the steps in ``after`` are done.
+
+    ``rack`` is the label of the workers near the step's data; elsewhere its tasks take longer.
+    """
 
     count: int
     demand: Demand
@@ -59,6 +62,7 @@
     after: tuple[int, ...] = ()
     image: str = ""
     label: str = ""
+    rack: str = ""
     max_per_worker: int = 0
 
 
--- a/persimmoncrank/settings/_schema.py
+++ b/persimmoncrank/settings/_schema.py
@@ -112,11 +112,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class DispatchEntrySettings(DispatchSettings):
-    """The settings of an entry that dispatches to workers."""
+    """The settings of an entry that dispatches to workers.
+
+    Tasks take ``remote_data_factor`` times as long on a worker that is far from their data.
+    """
 
     front_address: Address
     ready_address: Address
     stream_address: Address
+    remote_data_factor: Annotated[float, Meta(ge=1, description="a number of 1 or more")] = 1.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/persimmoncrank/state/__init__.py
+++ b/persimmoncrank/state/__init__.py
@@ -37,6 +37,7 @@
         with_proof,
     )
     from persimmoncrank.state._latency_histogram import LatencyHistogram
+    from persimmoncrank.state._rendezvous import rendezvous_score
     from persimmoncrank.state._retry_budget import (
         RetryBudget,
     )
@@ -88,6 +89,7 @@
     "majority_proof",
     "missing_acknowledgements",
     "next_elector_groups",
+    "rendezvous_score",
     "with_proof",
 ]
 
@@ -121,6 +123,7 @@
     "majority_proof": "_freshness",
     "missing_acknowledgements": "_freshness",
     "next_elector_groups": "_freshness",
+    "rendezvous_score": "_rendezvous",
     "with_proof": "_freshness",
 }
 
--- a/persimmoncrank/state/_run_ledger.py
+++ b/persimmoncrank/state/_run_ledger.py
@@ -136,6 +136,10 @@
         """Remove a queued run that will not start."""
         self.queued.remove(run)
 
+    def owners(self) -> set[str]:
+        """Return the incarnations of the entries that ordered runs."""
+        return {run.owner for run in (*self.queued, *self.active.values())}
+
     def owned_by(self, owner: str) -> list[Run]:
         """Return all runs ordered by one incarnation of an entry."""
         return [run for run in (*self.queued, *self.active.values()) if run.owner == owner]
--- a/persimmoncrank/tests/test_worker_choice.py
+++ b/persimmoncrank/tests/test_worker_choice.py
@@ -69,7 +69,7 @@
         make_link(name, slowness=slowness[name], free=cpu_millis)
         for name, cpu_millis in free.items()
     ]
-    link = choose_worker(make_task(nominal_s), links, withdrawn=())
+    link = choose_worker(make_task(nominal_s), links, withdrawn=(), now_s=0.0)
     assert link is not None
     assert link.hello.agent == expected
 
@@ -88,6 +88,6 @@
 ) -> None:
     links = [make_link(name, is_suspect=name == suspect) for name in ("x", "y")]
     task = make_task(0.1, failed_workers)
-    link = choose_worker(task, links, withdrawn=withdrawn)
+    link = choose_worker(task, links, withdrawn=withdrawn, now_s=0.0)
     assert link is not None
     assert link.hello.agent == expected
--- a/persimmoncrank/tests/test_worker_runner.py
+++ b/persimmoncrank/tests/test_worker_runner.py
@@ -171,7 +171,7 @@
     ("orders", "expected"),
     [
         ([(1, 4000, 0), (2, 4000, 1), (3, 4000, 0)], [1, 3, 2]),
-        ([(1, 3000, 0), (2, 2000, 0), (3, 1000, 0)], [1, 2, 3]),
+        ([(1, 3000, 0), (2, 4000, 0), (3, 1000, 0)], [1, 2, 3]),
     ],
     ids=["priority first", "small run does not overtake"],
 )
