Test leases on demand with eight entries under each fault, and by a mutation

With more entries than an agent is assigned to, the histories now cover leases that are granted on demand.

--- a/persimmoncrank/tests/test_worker_histories.py
+++ b/persimmoncrank/tests/test_worker_histories.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -20,6 +21,7 @@
     from persimmoncrank.protocol import TaskRef
 
 JOB_COUNT = 40
+MANY_ENTRIES = 8  # so that an agent has more entries than it is assigned to
 
 
 async def no_fault(_world: WorkerWorld, _rng: random.Random) -> None:
@@ -178,6 +180,7 @@
     faults: Sequence[Callable[..., Coroutine[Any, Any, None]]],
     *,
     max_run_time_s: float = 0.6,
+    entries: int = 2,
 ) -> float:
     """Run jobs under faults, check the invariants, and return the share of completed jobs."""
     rng = random.Random(seed)
@@ -191,7 +194,7 @@
             return run_times.setdefault(task, rng.uniform(0.05, max_run_time_s))
 
         world.run_s = run_s
-        await world.start()
+        await world.start(entries=entries)
 
         async def submit_job(number: int) -> None:
             nonlocal completed
@@ -239,6 +242,15 @@
     assert run_virtual(lambda: run_jobs_under_faults(seed, [fault]), seed=seed) >= 0.9
 
 
+@pytest.mark.parametrize("seed", range(1))
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
+def test_invariants_hold_with_unassigned_entries(
+    fault: Callable[..., Coroutine[Any, Any, None]], seed: int
+) -> None:
+    scenario = partial(run_jobs_under_faults, seed, [fault, fault], entries=MANY_ENTRIES)
+    assert run_virtual(scenario, seed=seed) >= 0.9
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_invariants_hold_under_several_faults(seed: int) -> None:
     faults = random.Random(seed).sample(FAULTS, 4)
--- a/persimmoncrank/tests/test_worker_mutations.py
+++ b/persimmoncrank/tests/test_worker_mutations.py
@@ -17,8 +17,10 @@
 )
 from persimmoncrank.coordination.execution import WorkerAgent
 from persimmoncrank.coordination.execution._entry_links import EntryLinks
+from persimmoncrank.coordination.execution._entry_session import EntrySession
 from persimmoncrank.coordination.execution._worker_runner import WorkerRunner
 from persimmoncrank.state import RunLedger
+from persimmoncrank.tests import test_lease_on_demand
 from persimmoncrank.tests import test_worker_histories as histories
 
 if TYPE_CHECKING:
@@ -83,6 +85,12 @@
     monkeypatch.setattr(WorkerAgent, "_apply_config", apply_config)
 
 
+def start_without_lease(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Start orders of entries whose lease the agent does not have."""
+    monkeypatch.setattr(EntrySession, "has_full_lease", lambda *_args, **_options: True)
+    monkeypatch.setattr(EntryLinks, "has_lease", lambda *_args: True)
+
+
 CASES = [
     (skip_eligibility_checks, histories.withdraw_domain),
     (skip_eligibility_checks, histories.drain_worker),
@@ -102,14 +110,29 @@
     fault: Callable[..., Any],
 ) -> None:
     mutate(monkeypatch)
+    check_mutation_is_detected(fault)
+
+
+def check_mutation_is_detected(fault: Callable[..., Any]) -> None:
+    """Check that an invariant fails for one of a few seeds."""
 
     def run_all_seeds() -> None:
         for seed in range(MAX_SEEDS):
             scenario = partial(
-                histories.run_jobs_under_faults, seed, [fault, fault], max_run_time_s=MAX_RUN_TIME_S
+                histories.run_jobs_under_faults,
+                seed,
+                [fault, fault],
+                max_run_time_s=MAX_RUN_TIME_S,
             )
             run_virtual(scenario, seed=seed)
 
     with pytest.raises(BaseExceptionGroup) as caught:
         run_all_seeds()
     assert caught.group_contains(AssertionError)
+
+
+def test_lease_on_demand_detects_starts_without_a_lease(monkeypatch: pytest.MonkeyPatch) -> None:
+    start_without_lease(monkeypatch)
+    with pytest.raises(BaseExceptionGroup) as caught:
+        test_lease_on_demand.test_order_of_an_entry_that_never_grants_its_lease_does_not_start()
+    assert caught.group_contains(AssertionError)
