Keep a process running after an unexpected error in one stream

Cause: an exception other than a closed stream, raised while a frame was handled, ended the task group of all streams and with it the entry or the agent. Each of the three new tests failed before: a server of streams, an entry and an agent that get a frame with an impossible value.

Change: the error is logged with its traceback, and only its stream is closed; the agent dials again.

--- a/persimmoncrank/coordination/dispatch/_agent_streams.py
+++ b/persimmoncrank/coordination/dispatch/_agent_streams.py
@@ -117,7 +117,10 @@
         )
         with anyio.CancelScope() as scope:
             link.stream_scope = scope
-            await self._exchange_frames(link, stream)
+            try:
+                await self._exchange_frames(link, stream)
+            except Exception:
+                log.exception("entry: stream of agent failed agent=%s", link.hello.incarnation)
         if link.stream_scope is scope:
             self._detach_stream(link)
 
--- a/persimmoncrank/coordination/execution/_entry_links.py
+++ b/persimmoncrank/coordination/execution/_entry_links.py
@@ -147,6 +147,8 @@
                 await self._connect(address)
             except (StreamClosedError, TimeoutError) as error:
                 log.debug("agent: connecting to entry failed address=%s cause=%s", address, error)
+            except Exception:
+                log.exception("agent: stream to entry failed address=%s", address)
             await anyio.sleep(REDIAL_INTERVAL_S)
         del self._last_frame_at_s[address]
         for session in [s for s in self.sessions.values() if s.address == address]:
--- a/persimmoncrank/tests/test_dispatcher.py
+++ b/persimmoncrank/tests/test_dispatcher.py
@@ -180,3 +180,36 @@
         assert (runner.health.slowness > 2.0) is is_kept
 
     run_scenario(scenario, entries=1, agents=1)
+
+
+@pytest.mark.parametrize("side", ["agent", "entry"])
+def test_unexpected_error_in_a_frame_ends_only_its_stream(
+    side: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def scenario(world: WorkerWorld) -> None:
+        errors = 1
+
+        def fail_once(handle: Callable[..., None]) -> Callable[..., None]:
+            def handle_or_fail(*args: Any) -> None:
+                nonlocal errors
+                if errors:
+                    errors -= 1
+                    raise KeyError("impossible value")
+                handle(*args)
+
+            return handle_or_fail
+
+        if side == "agent":
+            links = world.agents["a0"].node.links
+            links._on_frame = fail_once(links._on_frame)
+        else:
+            streams = world.dispatcher("e0").streams
+            streams._handle_frame = fail_once(streams._handle_frame)
+        await anyio.sleep(1.0)
+        assert not errors
+        answer = await world.submit("e0", make_worker_job("5" * 16))
+        assert answer is not None
+        assert answer.is_completed
+
+    run_scenario(scenario, entries=1, agents=1)
+    assert "impossible value" in caplog.text
--- a/persimmoncrank/tests/test_streams.py
+++ b/persimmoncrank/tests/test_streams.py
@@ -17,11 +17,13 @@
 
 
 async def echo_challenges(stream: MessageStream) -> None:
-    """Reply to each frame with its challenge; close the stream on challenge 9."""
+    """Reply to each frame with its challenge; close on challenge 9, fail on challenge 8."""
     while True:
         frame: AgentFrame = await stream.receive()
         if frame.challenge == 9:
             return
+        if frame.challenge == 8:
+            raise ValueError("a field has an impossible value")
         await stream.send(EntryFrame(entry="e", challenge=frame.challenge))
 
 
@@ -85,3 +87,17 @@
             assert (await stream.receive()).challenge == 4
 
     run_with_server(check)
+
+
+def test_unexpected_error_closes_only_its_stream(caplog: pytest.LogCaptureFixture) -> None:
+    async def check(address: str) -> None:
+        async with stream_dialer(EntryFrame)(address) as stream:
+            await stream.send(AgentFrame(challenge=8))
+            with pytest.raises(StreamClosedError):
+                await stream.receive()
+        async with stream_dialer(EntryFrame)(address) as stream:
+            await stream.send(AgentFrame(challenge=4))
+            assert (await stream.receive()).challenge == 4
+
+    run_with_server(check)
+    assert "a field has an impossible value" in caplog.text
--- a/persimmoncrank/transport/_streams.py
+++ b/persimmoncrank/transport/_streams.py
@@ -70,6 +70,8 @@
                 await serve(_message_stream(socket, message_type))
         except StreamClosedError as error:
             log.info("rpc: stream closed cause=%s", error)
+        except Exception:
+            log.exception("rpc: stream failed, other streams continue")
 
     host, port = parse_address(address)
     listener = await anyio.create_tcp_listener(local_host=host, local_port=port, reuse_port=False)
