--- a/persimmoncrank/coordination/execution/_entry_links.py
+++ b/persimmoncrank/coordination/execution/_entry_links.py
@@ -35,7 +35,7 @@
 log = logging.getLogger(__name__)
 
 CHALLENGE_INTERVAL_S = 0.2
-REPORT_INTERVAL_S = 0.15
+REPORT_INTERVAL_S = 0.2  # that of the challenges, so that one frame carries both
 FIRST_FRAME_TIMEOUT_S = 0.5
 DIAL_TIMEOUT_S = 0.5
 REDIAL_INTERVAL_S = 0.2
