--- a/persimmoncrank/coordination/dispatch/_agent_link.py
+++ b/persimmoncrank/coordination/dispatch/_agent_link.py
@@ -13,9 +13,7 @@
 
 log = logging.getLogger(__name__)
 
-CURRENT_WITHIN_S = (
-    0.4  # two intervals between the frames of an agent that is assigned to this entry
-)
+CURRENT_WITHIN_S = 0.4  # two frame intervals of an agent that is assigned to this entry
 FIRST_ANSWER_S = 0.35  # an agent asks for a lease at once when it gets an order without having one
 
 
--- a/persimmoncrank/coordination/dispatch/_worker_choice.py
+++ b/persimmoncrank/coordination/dispatch/_worker_choice.py
@@ -71,7 +71,7 @@
 
 
 def run_time_s(task: JobTask, link: AgentLink) -> float:
-    """Return the expected run time of a task on a worker of average speed, far from its data."""
+    """Return the expected run time of a task at speed 1, longer on a worker far from its data."""
     if task.step.rack and not is_near_data(task, link):
         return task.nominal_s * task.remote_data_factor
     return task.nominal_s
--- a/persimmoncrank/tests/test_dispatcher.py
+++ b/persimmoncrank/tests/test_dispatcher.py
@@ -8,8 +8,7 @@
 import anyio
 import pytest
 
-from persimmoncrank.bench._network import run_virtual
-from persimmoncrank.bench._worker_world import QUEUE, WorkerWorld, make_worker_job
+from persimmoncrank.bench._worker_world import QUEUE, make_worker_job
 from persimmoncrank.protocol import (
     Demand,
     EntryFrame,
@@ -18,25 +17,12 @@
     TaskOrder,
     TaskRef,
 )
-from persimmoncrank.tests.worker_invariants import check_all
+from persimmoncrank.tests.worker_scenarios import run_scenario
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Callable
 
-
-def run_scenario(scenario: Callable[[WorkerWorld], Awaitable[Any]], **sizes: int) -> Any:
-    """Run a scenario in virtual time in a new world."""
-
-    async def main() -> Any:
-        async with anyio.create_task_group() as group:
-            world = WorkerWorld(group=group)
-            await world.start(**sizes)
-            result = await scenario(world)
-            check_all(world)
-            group.cancel_scope.cancel()
-        return result
-
-    return run_virtual(main)
+    from persimmoncrank.bench._worker_world import WorkerWorld
 
 
 @pytest.mark.parametrize(
@@ -184,7 +170,7 @@
 
 @pytest.mark.parametrize("side", ["agent", "entry"])
 def test_unexpected_error_in_a_frame_ends_only_its_stream(
-    side: str, caplog: pytest.LogCaptureFixture
+    side: str, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def scenario(world: WorkerWorld) -> None:
         errors = 1
@@ -201,10 +187,10 @@
 
         if side == "agent":
             links = world.agents["a0"].node.links
-            links._on_frame = fail_once(links._on_frame)
+            monkeypatch.setattr(links, "_on_frame", fail_once(links._on_frame))
         else:
             streams = world.dispatcher("e0").streams
-            streams._handle_frame = fail_once(streams._handle_frame)
+            monkeypatch.setattr(streams, "_handle_frame", fail_once(streams._handle_frame))
         await anyio.sleep(1.0)
         assert not errors
         answer = await world.submit("e0", make_worker_job("5" * 16))
--- a/persimmoncrank/tests/test_lease_on_demand.py
+++ b/persimmoncrank/tests/test_lease_on_demand.py
@@ -1,4 +1,4 @@
-"""Tests of leases that agents ask for only while they hold orders, and of probes of full workers.
+"""Tests of leases that agents ask for only while they hold orders, and of probes of workers.
 
 Load pattern: many entries and agents, of which each pair exchanges orders rarely.
 """
@@ -7,37 +7,21 @@
 
 from collections import Counter
 from dataclasses import replace
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import anyio
 import pytest
 
-from persimmoncrank.bench._network import run_virtual
-from persimmoncrank.bench._worker_world import LEASE_S, WorkerWorld, make_worker_job
+from persimmoncrank.bench._worker_world import LEASE_S, make_worker_job
 from persimmoncrank.coordination.execution._entry_links import ASSIGNED_ENTRIES
-from persimmoncrank.tests.worker_invariants import check_all
+from persimmoncrank.tests.worker_scenarios import run_scenario
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from persimmoncrank.bench._worker_world import WorkerWorld
 
 FRAMES_PER_S_LIMIT = 60  # of an idle agent in both directions; four entries cost 40
 
 
-def run_scenario(scenario: Callable[[WorkerWorld], Awaitable[Any]], **sizes: int) -> Any:
-    """Run a scenario in virtual time in a new world, and check the invariants."""
-
-    async def main() -> Any:
-        async with anyio.create_task_group() as group:
-            world = WorkerWorld(group=group)
-            await world.start(**sizes)
-            result = await scenario(world)
-            check_all(world)
-            group.cancel_scope.cancel()
-        return result
-
-    return run_virtual(main)
-
-
 def unassigned_entry(world: WorkerWorld, agent: str) -> str:
     """Return the name of an entry to which an agent is not assigned."""
     sessions = world.agents[agent].node.links.sessions.values()
