Simplify the checks of leases on demand, and do less on their hot paths

Found in a second reading of the change; decisions stay as they were. - The condition for keeping an entry's lease stood three times: one function. - A pass over the pending tasks compared each one with all unplaced ones, which is quadratic under overload: the steps without a worker are a set now. - Each order woke the checks of the agent's queue, also if it started at once: only a queued one does. - An agent checked ten times a second for orders that wait for a lease: only while there are some. - A frame of one entry woke the sender to it while orders of another entry waited.

--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -286,8 +286,9 @@
         """
         now_s = anyio.current_time()
         unplaced: list[JobTask] = []
+        unplaced_steps: set[int] = set()
         for number, task in enumerate(self.pending):
-            if any(other.step is task.step for other in unplaced):
+            if id(task.step) in unplaced_steps:
                 unplaced.append(task)
                 continue
             links = self.streams.index.candidates(task.step.label or task.step.rack, now_s=now_s)
@@ -296,8 +297,8 @@
                 self._order_task(task, link, now_s=now_s)
                 continue
             unplaced.append(task)
-            steps = {id(other.step) for other in unplaced}
-            if not _is_selective(task) or len(steps) >= MAX_UNPLACED_STEPS:
+            unplaced_steps.add(id(task.step))
+            if not _is_selective(task) or len(unplaced_steps) >= MAX_UNPLACED_STEPS:
                 unplaced += self.pending[number + 1 :]
                 break
         self.pending = unplaced
--- a/persimmoncrank/coordination/execution/_entry_links.py
+++ b/persimmoncrank/coordination/execution/_entry_links.py
@@ -109,7 +109,7 @@
         """Send what has changed to the assigned entries and to those with orders here."""
         owners = self._order_owners()
         for session in self.sessions.values():
-            if session.is_assigned or session.incarnation in owners:
+            if _needs_lease(session, owners):
                 session.update_pending.set()
 
     def wake_all_senders(self) -> None:
@@ -133,7 +133,7 @@
 
     def _challenge_interval_s(self, session: EntrySession) -> float:
         """Return the time between two challenges to an entry."""
-        if session.is_assigned or session.incarnation in self._order_owners():
+        if _needs_lease(session, self._order_owners()):
             return CHALLENGE_INTERVAL_S
         return self._idle_interval_s()
 
@@ -290,6 +290,11 @@
 
     def _handle_lease_loss(self, session: EntrySession, cause: str) -> None:
         """Stop the entry's runs; the lease of an entry without any expires between its orders."""
-        if session.is_assigned or session.incarnation in self._order_owners():
+        if _needs_lease(session, self._order_owners()):
             log.warning("agent: entry lost entry=%s cause=%s", session.incarnation, cause)
             self._on_lease_lost(session, cause)
+
+
+def _needs_lease(session: EntrySession, order_owners: set[str]) -> bool:
+    """Return whether the lease of an entry is kept: it is assigned, or has orders here."""
+    return session.is_assigned or session.incarnation in order_owners
--- a/persimmoncrank/coordination/execution/_worker_agent.py
+++ b/persimmoncrank/coordination/execution/_worker_agent.py
@@ -87,6 +87,7 @@
         self._times = times
         self._heartbeat: WorkerHeartbeat | None = None
         self._waiting_for_lease: list[Run] = []
+        self._lease_awaited = anyio.Event()
         self._worker_changed = anyio.Event()
         self._is_leaving = False
         self._stop = anyio.Event()
@@ -221,8 +222,7 @@
                 self._waiting_for_lease.append(run)
         if frame.stops:
             self._stop_orders(session.incarnation, frozenset(frame.stops))
-        if self._waiting_for_lease:
-            self._submit_leased(session)
+        self._submit_leased(session)
         if frame.starts or frame.stops:
             self.links.wake_senders()
 
@@ -244,11 +244,13 @@
         This comes after the stops of the same frame: an entry that grants a lease has sent stops
         for all orders that it has given up.
         """
-        if not session.has_full_lease(now_s=self._ports.lease_clock()):
+        waiting = [run for run in self._waiting_for_lease if run.owner == session.incarnation]
+        if waiting and not session.has_full_lease(now_s=self._ports.lease_clock()):
             session.wake()
+            self._lease_awaited.set()
             return
         now_s = anyio.current_time()
-        for run in [run for run in self._waiting_for_lease if run.owner == session.incarnation]:
+        for run in waiting:
             self._waiting_for_lease.remove(run)
             runner = self.runner
             if runner is None or runner.worker.incarnation != run.order.worker_incarnation:
@@ -264,6 +266,9 @@
 
     async def _run_lease_wait_checks(self) -> None:
         while True:
+            if not self._waiting_for_lease:
+                self._lease_awaited = anyio.Event()
+                await self._lease_awaited.wait()
             await anyio.sleep(LEASE_WAIT_CHECK_INTERVAL_S)
             overdue_s = anyio.current_time() - LEASE_WAIT_S
             runs = [run for run in self._waiting_for_lease if run.queued_at_s <= overdue_s]
--- a/persimmoncrank/coordination/execution/_worker_runner.py
+++ b/persimmoncrank/coordination/execution/_worker_runner.py
@@ -164,7 +164,8 @@
         """Queue a run, then start the queued runs that fit."""
         self.ledger.add(run)
         self.start_queued()
-        self._queue_changed.set()
+        if self.ledger.queued:
+            self._queue_changed.set()
 
     def start_queued(self) -> None:
         """Start queued runs, in order, while the first of them fits."""
