Tell a crashed worker from an unreachable one, and end its runs at once

Callers saw: after a task had crashed its worker, the jobs beside it lost another 1.1 s, so that check-ins (objective 250 ms) were late or failed.

Cause: the agent ended runs of a worker that did not answer only when its lease had expired, with the outcome LOST, whether the worker was cut off or its process was gone. Neither logs nor metrics showed the difference, nor which runs had just started.

Change: a connection that is refused after an open one broke means that nothing listens on the agent's own machine. The runs end with the new outcome CRASHED, orders that were sent later as not started, and each crashed task has a log line. The crash is sent to all entries, which do not use it yet. Workers that were draining, shut down or came back as the same incarnation have not crashed; a worker that went silent and came back as another one has. An absent worker is reported as one that accepts nothing; before, its last report stood, and orders to it came back one by one.

The new tests fail if a refused connection is handled as any other failure: no run has ended 50 ms after the crash. A test of a crash expected LOST, which was the only outcome for it; it expects CRASHED now.

--- a/persimmoncrank/bench/_worker_world.py
+++ b/persimmoncrank/bench/_worker_world.py
@@ -343,7 +343,8 @@
         async def send_heartbeats() -> None:
             while True:
                 self.versions.append((agent.hello.incarnation, agent.config_version))
-                agent.handle_heartbeat(worker.heartbeat())
+                if not worker.is_down:
+                    agent.handle_heartbeat(worker.heartbeat())
                 await anyio.sleep(HEARTBEAT_S)
 
         async def run() -> None:
--- a/persimmoncrank/coordination/execution/_entry_links.py
+++ b/persimmoncrank/coordination/execution/_entry_links.py
@@ -10,6 +10,7 @@
 
 import logging
 import math
+from collections import deque
 from typing import TYPE_CHECKING
 
 import anyio
@@ -21,6 +22,7 @@
     EntryFrame,
     MessageStream,
     StreamClosedError,
+    WorkerCrash,
     WorkerReport,
 )
 from persimmoncrank.state import rendezvous_score
@@ -45,6 +47,8 @@
 IDLE_INTERVAL_PER_ENTRY_S = 0.12  # an agent sends at most 9 idle frames per second in all
 MIN_IDLE_INTERVAL_S = 1.0
 MAX_IDLE_INTERVAL_S = 10.0
+CRASH_RETENTION_S = 120.0  # longer than callers send a job again
+MAX_CRASHES = 64
 
 
 class EntryLinks:
@@ -76,6 +80,7 @@
         self._on_lease_lost = on_lease_lost
         self._seeds: set[str] = set()
         self._last_frame_at_s: dict[str, float] = {}
+        self._crashes: deque[tuple[float, WorkerCrash]] = deque(maxlen=MAX_CRASHES)
         self._group: TaskGroup | None = None
 
     async def run(self) -> None:
@@ -117,6 +122,16 @@
         for session in self.sessions.values():
             session.update_pending.set()
 
+    def report_crash(self, crash: WorkerCrash) -> None:
+        """Send a crash of the worker to all entries, and to those that connect later."""
+        self._crashes.append((anyio.current_time(), crash))
+        for session in self.sessions.values():
+            session.queue_crashes((crash,))
+
+    def _recent_crashes(self) -> list[WorkerCrash]:
+        since_s = anyio.current_time() - CRASH_RETENTION_S
+        return [crash for reported_at_s, crash in self._crashes if reported_at_s >= since_s]
+
     def _assign_entries(self) -> None:
         """Assign the agent to the connected entries that it prefers."""
         connected = [session for session in self.sessions.values() if session.is_connected]
@@ -198,6 +213,7 @@
             session = EntrySession(incarnation=incarnation, address=address, lease_s=self._lease_s)
             self.sessions[incarnation] = session
         session.reset_stream()
+        session.queue_crashes(self._recent_crashes())
         return session
 
     async def _receive_frames(
--- a/persimmoncrank/coordination/execution/_entry_session.py
+++ b/persimmoncrank/coordination/execution/_entry_session.py
@@ -6,10 +6,21 @@
 import logging
 from collections import OrderedDict
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 import anyio
 
-from persimmoncrank.protocol import AgentFrame, EntryFrame, OrderEnd, OrderOutcome, WorkerReport
+from persimmoncrank.protocol import (
+    AgentFrame,
+    EntryFrame,
+    OrderEnd,
+    OrderOutcome,
+    WorkerCrash,
+    WorkerReport,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
 
 log = logging.getLogger(__name__)
 
@@ -44,6 +55,7 @@
     _unacked_ends: OrderedDict[int, OrderEnd] = field(default_factory=OrderedDict)
     _last_sent_event_id: int = 0
     _last_sent_report: WorkerReport | None = None
+    _crashes: list[WorkerCrash] = field(default_factory=list)
 
     def has_lease(self, *, now_s: float) -> bool:
         """Return whether runs of the entry may start and continue."""
@@ -73,12 +85,18 @@
         )
         self.wake()
 
+    def queue_crashes(self, crashes: Iterable[WorkerCrash]) -> None:
+        """Add crashes of the worker to the next frame."""
+        self._crashes.extend(crashes)
+        self.wake()
+
     def unacked_order_ids(self) -> tuple[int, ...]:
         """Return the orders whose ends the entry has not acknowledged."""
         return tuple(end.order_id for end in self._unacked_ends.values())
 
     def reset_stream(self) -> None:
         """Reset the state for a new stream; unacknowledged ends of orders are sent again."""
+        self._crashes.clear()
         self._challenges.clear()
         self._last_sent_event_id = 0
         self._last_sent_report = None
@@ -93,11 +111,12 @@
     ) -> AgentFrame | None:
         """Return a frame with unsent events and a changed report, or None if it would be empty."""
         started, self._started = tuple(self._started), []
+        crashes, self._crashes = tuple(self._crashes), []
         ends = tuple(
             end for key, end in self._unacked_ends.items() if key > self._last_sent_event_id
         )
         new_report = None if report == self._last_sent_report else report
-        if not (with_challenge or started or ends or new_report):
+        if not (with_challenge or started or ends or new_report or crashes):
             return None
         if ends:
             self._last_sent_event_id = ends[-1].event_id
@@ -109,6 +128,7 @@
             started=started,
             ended=ends,
             next_within_s=next_within_s,
+            crashes=crashes,
         )
 
     def _next_challenge(self, now_s: float) -> int:
--- a/persimmoncrank/coordination/execution/_worker_agent.py
+++ b/persimmoncrank/coordination/execution/_worker_agent.py
@@ -13,10 +13,12 @@
 from persimmoncrank.coordination.execution._worker_runner import RunnerCallbacks, WorkerRunner
 from persimmoncrank.protocol import (
     AgentHello,
+    CrashedRun,
     Demand,
     DialStream,
     EntryFrame,
     OrderOutcome,
+    WorkerCrash,
     WorkerHeartbeat,
     WorkerPort,
     WorkerReport,
@@ -86,6 +88,7 @@
         self._ports = ports
         self._times = times
         self._heartbeat: WorkerHeartbeat | None = None
+        self._last_heartbeat: WorkerHeartbeat | None = None
         self._waiting_for_lease: list[Run] = []
         self._lease_awaited = anyio.Event()
         self._worker_changed = anyio.Event()
@@ -122,7 +125,7 @@
         if known is not None and _heartbeat_version(heartbeat) < _heartbeat_version(known):
             log.info("agent: out-of-date heartbeat ignored worker=%s", heartbeat.worker)
             return False
-        self._heartbeat = heartbeat
+        self._heartbeat = self._last_heartbeat = heartbeat
         if known is None or (known.worker, known.incarnation) != (
             heartbeat.worker,
             heartbeat.incarnation,
@@ -135,7 +138,12 @@
             if self.runner is not None:
                 self.runner.terminate("another incarnation of the worker sent a heartbeat")
             self._worker_changed.set()
-        elif known.is_draining != heartbeat.is_draining:
+            return True
+        if self.runner is None:
+            self._worker_changed.set()
+        else:
+            self.runner.worker = heartbeat
+        if known.is_draining != heartbeat.is_draining:
             log.info("agent: worker draining worker=%s", heartbeat.worker)
             self._return_queued_orders("the worker is draining")
             self.links.wake_all_senders()
@@ -146,7 +154,7 @@
         if self._heartbeat is not None and self._heartbeat.worker == worker:
             self._heartbeat = None
             if self.runner is not None:
-                self.runner.terminate("the worker shut down")
+                self.runner.terminate("the worker shut down", is_planned=True)
 
     async def _serve_incarnations(self) -> None:
         """Run a runner for each incarnation of the worker in turn."""
@@ -164,6 +172,7 @@
                 events=RunnerCallbacks(
                     started=self._on_started,
                     ended=self._on_ended,
+                    crashed=self._on_crashed,
                     changed=self.links.wake_all_senders,
                     may_start=self._may_start,
                 ),
@@ -343,10 +352,32 @@
             session.queue_end_report(run.order.order_id, outcome, run_s, cause)
         self.links.wake_senders()
 
+    def _on_crashed(self, runs: tuple[CrashedRun, ...]) -> None:
+        runner = self.runner
+        if runner is None:
+            return
+        worker = runner.worker
+        self.counters.worker_crashes += 1
+        for run in runs:
+            log.warning(
+                "agent: worker crashed under task job=%s task=%d.%d worker=%s life=%d recent=%s",
+                run.ref.job_id,
+                run.ref.step,
+                run.ref.index,
+                worker.worker,
+                worker.incarnation,
+                run.is_recent,
+            )
+        self.links.report_crash(
+            WorkerCrash(worker=worker.worker, incarnation=worker.incarnation, runs=runs)
+        )
+
     def _report(self, session: EntrySession) -> WorkerReport | None:
-        runner, heartbeat = self.runner, self._heartbeat
-        if runner is None or heartbeat is None:
+        runner, heartbeat = self.runner, self._last_heartbeat
+        if heartbeat is None:
             return None
+        if runner is None:
+            return self._report_of_absent_worker(heartbeat, session)
         return WorkerReport(
             worker=heartbeat.worker,
             worker_incarnation=heartbeat.incarnation,
@@ -363,6 +394,23 @@
             orders_seen=session.orders_seen,
         )
 
+    @staticmethod
+    def _report_of_absent_worker(heartbeat: WorkerHeartbeat, session: EntrySession) -> WorkerReport:
+        """Return the report of a worker that has ended; it accepts nothing."""
+        return WorkerReport(
+            worker=heartbeat.worker,
+            worker_incarnation=heartbeat.incarnation,
+            service=heartbeat.service,
+            labels=heartbeat.labels,
+            capacity=heartbeat.capacity,
+            free=Demand(),
+            slowness=1.0,
+            is_accepting=False,
+            is_suspect=False,
+            queued=0,
+            orders_seen=session.orders_seen,
+        )
+
 
 def _worker_profile(worker: WorkerHeartbeat) -> tuple[str, tuple[str, ...], Demand]:
     return (worker.service, worker.labels, worker.capacity)
--- a/persimmoncrank/coordination/execution/_worker_runner.py
+++ b/persimmoncrank/coordination/execution/_worker_runner.py
@@ -18,6 +18,7 @@
 
 from persimmoncrank.coordination.execution._worker_clock import WorkerClock
 from persimmoncrank.protocol import (
+    CrashedRun,
     Demand,
     EndedRun,
     OrderOutcome,
@@ -60,6 +61,7 @@
 CLOCK_DRIFT_FACTOR = 1.02  # a worker's clock may run up to 2% slow
 LEASE_EXPIRY_MARGIN_S = 0.05
 UNRESPONSIVE_AFTER_S = 2 * (LIST_WAIT_S + CALL_TIMEOUT_S)
+RECENT_START_S = 0.1  # most tasks that crash their worker do so while they start
 
 _OUTCOMES = {
     RunEndKind.DONE: OrderOutcome.DONE,
@@ -69,6 +71,7 @@
     RunEndKind.BROKEN: OrderOutcome.LOST,
     RunEndKind.ALONE: OrderOutcome.LOST,
 }
+_NOT_SENT = (WorkerFaultKind.NOT_CONNECTED, WorkerFaultKind.DOWN)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -76,11 +79,13 @@
     """Callbacks of the runner.
 
     ``started`` and ``ended`` report runs, the latter with outcome, run time in seconds and cause.
+    ``crashed`` reports the runs that were active when the worker crashed, before their ends.
     ``changed`` reports other changes of the worker's state; ``may_start`` is asked before a start.
     """
 
     started: Callable[[Run], None]
     ended: Callable[[Run, OrderOutcome, float, str], None]
+    crashed: Callable[[tuple[CrashedRun, ...]], None]
     changed: Callable[[], None]
     may_start: Callable[[Run], bool]
 
@@ -118,6 +123,8 @@
         self._clock = WorkerClock()
         self._seen_cursor = 0
         self._missing_counts: dict[RunRef, int] = {}
+        self._unexplained_runs: list[Run] = []
+        self._unresponsive_since_s: float | None = None
         self._is_listed = False
         self._listed_at_s = 0.0
         self._list_request_count = 0
@@ -147,19 +154,53 @@
             await self._run_renewals()
             group.cancel_scope.cancel()
 
-    def terminate(self, cause: str) -> None:
-        """End all runs, since this incarnation of the worker no longer exists."""
+    def terminate(
+        self, cause: str, *, is_planned: bool = False, down_since_s: float | None = None
+    ) -> None:
+        """End all runs, since this incarnation of the worker no longer exists.
+
+        Unless the worker was draining or its end was planned, it has crashed. Starts that were sent
+        when the worker was already down have had no effect.
+        """
         if self.is_terminated:
             return
         self.is_terminated = True
-        log.warning("agent: worker incarnation ended worker=%s cause=%s", self.worker.worker, cause)
+        has_crashed = not (is_planned or self.worker.is_draining)
+        active = list(self.ledger.active.values())
+        if down_since_s is not None:
+            for run in [run for run in active if run.ordered_at_s > down_since_s]:
+                active.remove(run)
+                self._end_run(run, OrderOutcome.NOT_STARTED, cause)
+        log.warning(
+            "agent: worker incarnation ended worker=%s crashed=%s runs=%d lost_before=%d cause=%s",
+            self.worker.worker,
+            has_crashed,
+            len(active),
+            len(self._unexplained_runs),
+            cause,
+        )
+        if has_crashed:
+            crashed_at_s = self._now() if down_since_s is None else down_since_s
+            self._report_crash([*active, *self._unexplained_runs], crashed_at_s)
         for run in list(self.ledger.queued):
             self._end_queued(run, cause)
-        for run in list(self.ledger.active.values()):
-            self._end_run(run, OrderOutcome.LOST, cause)
+        for run in active:
+            self._end_run(run, OrderOutcome.CRASHED if has_crashed else OrderOutcome.LOST, cause)
         if self._group is not None:
             self._group.cancel_scope.cancel()
 
+    def _report_crash(self, runs: list[Run], crashed_at_s: float) -> None:
+        """Report the runs that may have been active when the worker crashed."""
+        recent_s = crashed_at_s - RECENT_START_S
+        crashed = tuple(
+            CrashedRun(
+                ref=run.order.ref, kind=run.order.kind, is_recent=run.ordered_at_s >= recent_s
+            )
+            for run in runs
+        )
+        if crashed:
+            self._events.crashed(crashed)
+
     def submit(self, run: Run) -> None:
         """Queue a run, then start the queued runs that fit."""
         self.ledger.add(run)
@@ -233,8 +274,10 @@
                 return reply.refusal
             case Err(fault) if fault.kind is WorkerFaultKind.WRONG_INCARNATION:
                 self.terminate(fault.message)
-            case Err(fault) if fault.kind is WorkerFaultKind.NOT_CONNECTED:
+            case Err(fault) if fault.kind in _NOT_SENT:
                 self._end_run(run, OrderOutcome.NOT_STARTED, fault.message)
+                if fault.kind is WorkerFaultKind.DOWN:
+                    self._handle_refused_connection(fault)
             case Err(fault) if run.state is RunState.ORDERED:
                 run.state = RunState.UNCONFIRMED
                 log.warning(
@@ -299,6 +342,8 @@
                     if is_unresponsive:
                         log.info("agent: worker answers again worker=%s", self.worker.worker)
                     is_unresponsive = False
+                    self._unresponsive_since_s = None
+                    self._unexplained_runs.clear()
                 case Err(fault):
                     is_unresponsive = self._handle_renewal_failure(
                         fault, was_unresponsive=is_unresponsive
@@ -332,6 +377,10 @@
         )
 
     def _handle_renewal_failure(self, fault: WorkerFault, *, was_unresponsive: bool) -> bool:
+        if fault.kind is WorkerFaultKind.DOWN:
+            self._handle_refused_connection(fault)
+        if self._unresponsive_since_s is None:
+            self._unresponsive_since_s = self._now()
         if fault.kind is WorkerFaultKind.WRONG_INCARNATION:
             self.terminate(fault.message)
         if fault.kind is WorkerFaultKind.STALE_FENCE:
@@ -351,6 +400,14 @@
             self._mark_all_lost("the worker's lease has expired")
         return True
 
+    def _handle_refused_connection(self, fault: WorkerFault) -> None:
+        """Terminate if a call before failed too: the connection broke, and a new one is refused."""
+        if self._unresponsive_since_s is not None:
+            self.terminate(
+                f"nothing listens at the worker's address: {fault.message}",
+                down_since_s=self._unresponsive_since_s,
+            )
+
     def _mark_all_lost(self, cause: str) -> None:
         log.warning(
             "agent: runs lost worker=%s runs=%d cause=%s",
@@ -359,6 +416,7 @@
             cause,
         )
         for run in list(self.ledger.active.values()):
+            self._unexplained_runs.append(run)
             self._end_run(run, OrderOutcome.LOST, cause)
 
     def _handle_list(self, runs: RunList, request: _ListRequest) -> None:
--- a/persimmoncrank/protocol/__init__.py
+++ b/persimmoncrank/protocol/__init__.py
@@ -50,6 +50,7 @@
     from persimmoncrank.protocol._dispatch import (
         AgentFrame,
         AgentHello,
+        CrashedRun,
         Demand,
         EndedRun,
         EntryAddress,
@@ -66,6 +67,7 @@
         StartRun,
         TaskOrder,
         TaskRef,
+        WorkerCrash,
         WorkerFault,
         WorkerFaultKind,
         WorkerHeartbeat,
@@ -174,6 +176,7 @@
     "Committed",
     "ConfigHead",
     "ConfigSnapshot",
+    "CrashedRun",
     "Demand",
     "DialStream",
     "EndedRun",
@@ -243,6 +246,7 @@
     "Transaction",
     "VersionsReply",
     "VersionsRequest",
+    "WorkerCrash",
     "WorkerFault",
     "WorkerFaultKind",
     "WorkerHeartbeat",
@@ -266,6 +270,8 @@
 ]
 
 _MODULES = {
+    "WorkerCrash": "_dispatch",
+    "CrashedRun": "_dispatch",
     "ANSWERS": "_errors",
     "AgentConfig": "_config",
     "AgentEntry": "_membership",
--- a/persimmoncrank/protocol/_dispatch.py
+++ b/persimmoncrank/protocol/_dispatch.py
@@ -66,7 +66,8 @@
     service or kind. ``nominal_s`` is the expected time on a worker of speed 1. The order becomes
     void if it has not started ``start_within_s`` after its arrival, or after the agent received the
     entry's lease for it. ``rank`` orders waiting tasks
-    of the same priority: the one with the least slack comes first.
+    of the same priority: the one with the least slack comes first. Tasks of the same ``kind`` run
+    the same code.
     """
 
     order_id: int
@@ -78,13 +79,15 @@
     rank: float
     nominal_s: float
     start_within_s: float
+    kind: str = ""
 
 
 class OrderOutcome(enum.IntEnum):
     """How an order ended.
 
-    After ``NOT_STARTED`` the task has not run under this order. After ``LOST`` and ``STOPPED`` it
-    may have run for some time but is no longer running.
+    After ``NOT_STARTED`` the task has not run under this order. After ``LOST``, ``STOPPED`` and
+    ``CRASHED`` it may have run for some time but is no longer running. ``CRASHED`` means that the
+    worker crashed meanwhile; ``LOST`` also covers workers and agents that only became unreachable.
     """
 
     DONE = 1
@@ -92,6 +95,26 @@
     STOPPED = 3
     LOST = 4
     NOT_STARTED = 5
+    CRASHED = 6
+
+
+class CrashedRun(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A run that was active when its worker crashed; ``is_recent`` if it had just been ordered."""
+
+    ref: TaskRef
+    kind: str
+    is_recent: bool
+
+
+class WorkerCrash(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A crash of one incarnation of a worker, and runs that were active on it.
+
+    Several messages may report different runs of the same crash.
+    """
+
+    worker: str
+    incarnation: int
+    runs: tuple[CrashedRun, ...]
 
 
 class OrderEnd(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -150,7 +173,8 @@
     """One message from an agent; ``challenge`` requests a renewal of the entry's lease.
 
     ``next_within_s`` is the longest time until the agent's next frame while it holds no order of
-    the entry.
+    the entry. ``crashes`` are sent to all entries, so that any of them can take over a job with the
+    number of workers that have crashed under its tasks.
     """
 
     challenge: int = 0
@@ -159,6 +183,7 @@
     started: tuple[int, ...] = ()
     ended: tuple[OrderEnd, ...] = ()
     next_within_s: float = 0.0
+    crashes: tuple[WorkerCrash, ...] = ()
 
 
 class EntryFrame(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -269,10 +294,14 @@
 
 
 class WorkerFaultKind(enum.StrEnum):
-    """Why a call to a worker failed; after NO_ANSWER it may still take effect later."""
+    """Why a call to a worker failed; after NO_ANSWER it may still take effect later.
+
+    ``DOWN`` means that nothing listens at the worker's address on the agent's own machine.
+    """
 
     NO_ANSWER = "no answer"
     NOT_CONNECTED = "not connected"
+    DOWN = "down"
     WRONG_INCARNATION = "wrong life"
     STALE_FENCE = "fence"
     REFUSED = "refused"
--- a/persimmoncrank/standin/_worker.py
+++ b/persimmoncrank/standin/_worker.py
@@ -86,9 +86,22 @@
     is_unresponsive: bool = False
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CrashRecord:
+    """A crash in the worker's history, and the tasks that were running."""
+
+    worker: str
+    at_s: float
+    tasks: frozenset[TaskRef]
+
+
 @dataclass(kw_only=True, eq=False)
 class WorkerStandin:
-    """One worker. ``run_s`` returns a task's duration at speed 1, ``poison`` whether it fails."""
+    """One worker. ``run_s`` returns a task's duration at speed 1, ``poison`` whether it fails.
+
+    ``crashes_after_s`` returns how long after its start a task crashes the worker, if it does. The
+    worker is then down for ``restart_s``: calls fail as if nothing listened at its address.
+    """
 
     name: str
     capacity: Demand
@@ -98,10 +111,14 @@
     slowness: float = 1.0
     labels: tuple[str, ...] = ()
     poison: Callable[[TaskRef], bool] = lambda _task: False
+    crashes_after_s: Callable[[TaskRef], float | None] = lambda _task: None
+    restart_s: float = 3.0
     incarnation: int = 1
     is_draining: bool = False
     faults: WorkerFaults = field(default_factory=WorkerFaults)
     history: list[WorkerHistoryEntry] = field(default_factory=list)
+    crashes: list[CrashRecord] = field(default_factory=list)
+    _down_until_s: float = 0.0
     _sequence: int = 0
     _clock_origin_s: float = 0.0
     _lease_until_ms: int = 0
@@ -134,8 +151,16 @@
             sequence=self._sequence,
         )
 
-    def crash(self) -> None:
-        """End all runs and restart as a new incarnation with empty state."""
+    @property
+    def is_down(self) -> bool:
+        """Whether the worker has crashed and not started again."""
+        return anyio.current_time() < self._down_until_s
+
+    def crash(self, *, down_s: float = 0.0) -> None:
+        """End all runs; start again after ``down_s`` as a new incarnation with empty state."""
+        tasks = frozenset(run.task for run in self._running)
+        self.crashes.append(CrashRecord(worker=self.name, at_s=anyio.current_time(), tasks=tasks))
+        self._down_until_s = anyio.current_time() + down_s
         for run in list(self._running):
             self._end(run, RunEndKind.LAPSED)
         self.incarnation += 1
@@ -175,6 +200,8 @@
         await anyio.sleep(CALL_DELAY_S)
         if self.faults.is_unresponsive:
             await anyio.sleep_forever()
+        if self.is_down:
+            return _down()
         if incarnation != self.incarnation:
             return _wrong_incarnation()
         if is_order and self.rng.random() < self.faults.late_share:
@@ -218,8 +245,17 @@
             is_late=is_late,
         )
         self._record_history(order.run, None)
+        crash_delay_s = self.crashes_after_s(order.run.task)
+        if crash_delay_s is not None and self._group is not None:
+            self._group.start_soon(self._crash_later, order.run, crash_delay_s)
         return Ok(StartReply(clock_ms=self.clock_ms, refusal=None))
 
+    async def _crash_later(self, run: RunRef, delay_s: float) -> None:
+        incarnation = self.incarnation
+        await anyio.sleep(delay_s)
+        if incarnation == self.incarnation and run in self._running:
+            self.crash(down_s=self.restart_s)
+
     def _stop(self, run: RunRef, fence: int) -> Result[int, WorkerFault]:
         if fence < self._fence:
             fault = WorkerFault(
@@ -238,6 +274,8 @@
         await anyio.sleep(CALL_DELAY_S)
         if self.faults.is_unresponsive:
             await anyio.sleep_forever()
+        if self.is_down:
+            return _down()
         if incarnation != self.incarnation:
             return _wrong_incarnation()
         if renewal.fence < self._fence:
@@ -250,8 +288,11 @@
             self._extend_lease(renewal.until_ms)
         self._ended = [end for end in self._ended if end.cursor > renewal.seen_cursor]
         until_s = anyio.current_time() + renewal.wait_ms / 1000
-        while not self._ended and anyio.current_time() < until_s:
+        while not self._ended and anyio.current_time() < until_s and not self.is_down:
             await anyio.sleep(TICK_S)
+        if self.is_down:
+            fault = WorkerFault(kind=WorkerFaultKind.NO_ANSWER, message="the connection was closed")
+            return Err(fault)
         if incarnation != self.incarnation:
             return _wrong_incarnation()
         self._end_due_runs()
@@ -319,6 +360,10 @@
         self.history.append(entry)
 
 
+def _down() -> Err[WorkerFault]:
+    return Err(WorkerFault(kind=WorkerFaultKind.DOWN, message="the connection was refused"))
+
+
 def _wrong_incarnation() -> Err[WorkerFault]:
     message = "another incarnation of the worker answered"
     return Err(WorkerFault(kind=WorkerFaultKind.WRONG_INCARNATION, message=message))
--- a/persimmoncrank/state/_counters.py
+++ b/persimmoncrank/state/_counters.py
@@ -30,8 +30,12 @@
 
 @dataclass(kw_only=True, slots=True)
 class AgentCounters:
-    """The counters of an agent; refusals are counted by reason."""
+    """The counters of an agent; refusals are counted by reason.
+
+    ``worker_crashes`` counts reports of crashes under running tasks.
+    """
 
     tasks_started: int = 0
+    worker_crashes: int = 0
     tasks_ended: Counter[str] = field(default_factory=Counter)
     tasks_refused: Counter[str] = field(default_factory=Counter)
--- a/persimmoncrank/tests/test_worker_runner.py
+++ b/persimmoncrank/tests/test_worker_runner.py
@@ -11,7 +11,14 @@
 
 from persimmoncrank.bench._network import run_virtual
 from persimmoncrank.coordination.execution import RunnerCallbacks, WorkerRunner
-from persimmoncrank.protocol import Demand, OrderOutcome, TaskOrder, TaskRef, WorkerPort
+from persimmoncrank.protocol import (
+    CrashedRun,
+    Demand,
+    OrderOutcome,
+    TaskOrder,
+    TaskRef,
+    WorkerPort,
+)
 from persimmoncrank.standin import WorkerStandin
 from persimmoncrank.state import Run
 
@@ -30,6 +37,7 @@
         """Create a harness; the worker and the runner are not started."""
         self.ends: list[tuple[int, OrderOutcome]] = []
         self.may_start = True
+        self.crashed_runs: list[CrashedRun] = []
         self.worker = WorkerStandin(
             name="w",
             capacity=Demand(cpu_millis=1000 * cores, memory_mb=1000),
@@ -53,6 +61,7 @@
             events=RunnerCallbacks(
                 started=lambda _run: None,
                 ended=self._record_end,
+                crashed=self.crashed_runs.extend,
                 changed=lambda: None,
                 may_start=lambda _run: self.may_start,
             ),
@@ -221,12 +230,101 @@
         await anyio.sleep(0.1)
         harness.worker.crash()
         await anyio.sleep(0.5)
-        assert harness.ends == [(1, OrderOutcome.LOST)]
+        assert harness.ends == [(1, OrderOutcome.CRASHED)]
         assert runner.is_terminated
 
     run_scenario(scenario)
 
 
+def test_runs_of_a_crashed_worker_do_not_wait_for_its_lease() -> None:
+    """The lease takes 0.6 s to expire; a refused connection shows at once that the worker ended."""
+
+    async def scenario(group: TaskGroup) -> None:
+        harness = Harness(run_s=5.0)
+        runner = await harness.start(group)
+        runner.submit(make_run(1))
+        await anyio.sleep(0.3)
+        runner.submit(make_run(2))
+        runner.submit(make_run(3, cpu_millis=4000))
+        await anyio.sleep(0.05)
+        harness.worker.crash(down_s=3.0)
+        await anyio.sleep(0.05)
+        assert sorted(harness.ends) == [
+            (1, OrderOutcome.CRASHED),
+            (2, OrderOutcome.CRASHED),
+            (3, OrderOutcome.NOT_STARTED),
+        ]
+        assert runner.is_terminated
+        recent = {run.ref.job_id: run.is_recent for run in harness.crashed_runs}
+        assert recent == {"job1": False, "job2": True}
+
+    run_scenario(scenario)
+
+
+def test_start_that_crashes_its_worker_before_it_is_answered_counts_as_crashed() -> None:
+    async def scenario(group: TaskGroup) -> None:
+        harness = Harness(run_s=5.0)
+        runner = await harness.start(group)
+        harness.worker.faults.lost_answer_share = 1.0
+        harness.worker.crashes_after_s = lambda _task: 0.01
+        runner.submit(make_run(1))
+        await anyio.sleep(0.1)
+        assert harness.ends == [(1, OrderOutcome.CRASHED)]
+        assert [run.is_recent for run in harness.crashed_runs] == [True]
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    ("silence_s", "ends_draining", "expected", "reported"),
+    [
+        (2.0, False, OrderOutcome.LOST, 0),
+        (0.0, True, OrderOutcome.LOST, 0),
+        (0.0, False, OrderOutcome.CRASHED, 1),
+    ],
+    ids=["cut off and back", "drained and left", "crashed"],
+)
+def test_only_a_crash_is_reported_as_one(
+    silence_s: float, ends_draining: bool, expected: OrderOutcome, reported: int
+) -> None:
+    async def scenario(group: TaskGroup) -> None:
+        harness = Harness(run_s=30.0)
+        runner = await harness.start(group)
+        runner.submit(make_run(1))
+        await anyio.sleep(0.2)
+        if silence_s:
+            harness.worker.faults.is_unresponsive = True
+            await anyio.sleep(silence_s)
+            harness.worker.faults.is_unresponsive = False
+            await anyio.sleep(0.5)
+        harness.worker.is_draining = ends_draining
+        runner.worker = harness.worker.heartbeat()
+        harness.worker.crash(down_s=3.0)
+        await anyio.sleep(0.5)
+        assert harness.ends == [(1, expected)]
+        assert len(harness.crashed_runs) == reported
+
+    run_scenario(scenario)
+
+
+def test_runs_lost_in_silence_are_reported_once_the_worker_has_restarted() -> None:
+    async def scenario(group: TaskGroup) -> None:
+        harness = Harness(run_s=30.0)
+        runner = await harness.start(group)
+        runner.submit(make_run(1))
+        await anyio.sleep(0.2)
+        harness.worker.faults.is_unresponsive = True
+        await anyio.sleep(2.0)
+        assert not harness.crashed_runs
+        harness.worker.crash()
+        harness.worker.faults.is_unresponsive = False
+        await anyio.sleep(0.5)
+        assert harness.ends == [(1, OrderOutcome.LOST)]
+        assert [run.ref.job_id for run in harness.crashed_runs] == ["job1"]
+
+    run_scenario(scenario)
+
+
 def test_runs_of_an_unresponsive_worker_are_lost_when_its_lease_expires() -> None:
     async def scenario(group: TaskGroup) -> None:
         harness = Harness(run_s=30.0)
