Keep the crashes under each task in the store, for a restart of all processes

Callers saw: with all entries and agents killed after each crash, a task that runs for 150 ms before it crashes its worker was started eleven times, eight of them after the third crash (test case kill_everything, before this change).

Cause: the count of crashes was in the memory of entries and agents only.

Change: an entry writes each crash that an agent assigned to it reports, one row for each incarnation of a worker, and deletes it after two minutes. An entry reads the rows when it starts, before it follows the configuration, so it admits no job without them. Nothing is written on the path of a task: a crash is rare, and costs at most four writes.

Why it works: a job that comes again after all processes have restarted finds its count. A crash that happens at the same moment as the stop of all processes is not stored; the difference between the three crashes that are tolerated here and the five starts that are allowed covers it.

--- a/persimmoncrank/bench/_worker_world.py
+++ b/persimmoncrank/bench/_worker_world.py
@@ -19,6 +19,8 @@
     Dispatcher,
     DispatchTimes,
     choose_worker,
+    load_crashes,
+    store_crashes,
 )
 from persimmoncrank.coordination.execution import AgentPorts, LeaseTimes, WorkerAgent
 from persimmoncrank.protocol import (
@@ -31,11 +33,12 @@
     Step,
     StreamClosedError,
     TaskRef,
+    WorkerCrash,
     WorkerJob,
     WorkerJobAnswer,
     WorkerPort,
 )
-from persimmoncrank.standin import WorkerStandin
+from persimmoncrank.standin import MemoryPlatform, WorkerStandin
 from persimmoncrank.state import LatencyHistogram
 
 if TYPE_CHECKING:
@@ -219,6 +222,7 @@
     agents: dict[str, _RunningProcess] = field(default_factory=dict)
     workers: dict[str, WorkerStandin] = field(default_factory=dict)
     demands: dict[str, Demand] = field(default_factory=dict)
+    platform: MemoryPlatform = field(default_factory=MemoryPlatform)
     run_s: Callable[[TaskRef], float] = lambda _task: 0.2
     choose: ChooseWorker = choose_worker
     waits_s: list[float] = field(default_factory=list)
@@ -261,16 +265,32 @@
         """Start an entry with the current configuration."""
         entry = EntryAddress(incarnation=f"{name}-{next(self._incarnation_numbers)}", address=name)
         times = DispatchTimes(entry_lease_s=LEASE_S, worker_lease_s=LEASE_S)
-        dispatcher = Dispatcher(entry=entry, times=times, choose=self.choose)
-        self._configure(dispatcher)
+        send_crash, new_crashes = anyio.create_memory_object_stream[WorkerCrash](math.inf)
+        dispatcher = Dispatcher(
+            entry=entry, times=times, choose=self.choose, on_new_crash=send_crash.send_nowait
+        )
+        table = self.platform.table()
         scope = anyio.CancelScope()
         self.entries[name] = _RunningProcess(scope=scope, node=dispatcher)
 
         async def run() -> None:
             with scope:
-                async with anyio.create_task_group() as group:
+                async with anyio.create_task_group() as group, new_crashes:
                     self.network.groups[name] = group
                     self.network.serve[name] = dispatcher.streams.serve
+                    await load_crashes(
+                        table=table,
+                        record=lambda crash: dispatcher.crashes.record(
+                            crash, now_s=anyio.current_time()
+                        ),
+                        unix_time=anyio.current_time,
+                    )
+                    self._configure(dispatcher)
+                    group.start_soon(
+                        lambda: store_crashes(
+                            table=table, crashes=new_crashes, unix_time=anyio.current_time
+                        )
+                    )
                     await dispatcher.run()
             self.network.reset(name)
 
--- a/persimmoncrank/commands/dispatch.py
+++ b/persimmoncrank/commands/dispatch.py
@@ -21,7 +21,9 @@
     Dispatcher,
     DispatchTimes,
     follow_directory,
+    load_crashes,
     register_entry,
+    store_crashes,
 )
 from persimmoncrank.coordination.execution import AgentPorts, LeaseTimes, WorkerAgent
 from persimmoncrank.protocol import (
@@ -32,6 +34,7 @@
     QueueTable,
     TableFeed,
     TableService,
+    WorkerCrash,
     WorkerHeartbeat,
     WorkerPort,
 )
@@ -50,6 +53,7 @@
 CALLERS_MARGIN_S = 1.5  # in this last part of the grace period, only running jobs are awaited
 DRAIN_POLL_INTERVAL_S = 0.05
 SEEDS_READ_INTERVAL_S = 1.0
+MAX_UNSTORED_CRASHES = 256
 STDOUT_FD = 1
 
 App = Callable[..., Awaitable[None]]
@@ -113,10 +117,21 @@
     entry = EntryAddress(
         incarnation=new_incarnation(settings.name), address=settings.stream_address
     )
+    send_crash, unstored_crashes = anyio.create_memory_object_stream[WorkerCrash](
+        MAX_UNSTORED_CRASHES
+    )
+
+    def queue_crash(crash: WorkerCrash) -> None:
+        try:
+            send_crash.send_nowait(crash)
+        except anyio.WouldBlock:
+            log.warning("entry: crash not stored, too many wait worker=%s", crash.worker)
+
     dispatcher = Dispatcher(
         entry=entry,
         times=DispatchTimes(entry_lease_s=lease_s, worker_lease_s=lease_s),
         remote_data_factor=settings.remote_data_factor,
+        on_new_crash=queue_crash,
     )
     follower = TableFollower(
         table=store.operator_table,
@@ -133,6 +148,18 @@
     async def follow_entries() -> None:
         await follow_directory(table=store.table, on_entries=set_entries)
 
+    async def follow_config() -> None:
+        # No job is admitted before there is a configuration, so none misses a stored crash.
+        await load_crashes(
+            table=store.table,
+            record=lambda crash: dispatcher.crashes.record(crash, now_s=anyio.current_time()),
+            unix_time=time.time,
+        )
+        await follower.run()
+
+    async def store_new_crashes() -> None:
+        await store_crashes(table=store.table, crashes=unstored_crashes, unix_time=time.time)
+
     def make_entry_metrics() -> Metrics:
         from persimmoncrank.transport import dispatch_entry_metrics
 
@@ -151,7 +178,7 @@
         anyio.create_task_group() as group,
     ):
         log.info("entry: serving entry=%s lease_ms=%d", entry.incarnation, lease_s * 1000)
-        for task in (dispatcher.run, follower.run, register, follow_entries):
+        for task in (dispatcher.run, follow_config, store_new_crashes, register, follow_entries):
             group.start_soon(task)
         await stop.wait()
         await _drain(dispatcher, settings.grace_s, front.count_connections)
--- a/persimmoncrank/coordination/dispatch/__init__.py
+++ b/persimmoncrank/coordination/dispatch/__init__.py
@@ -4,6 +4,7 @@
 
 from persimmoncrank.coordination.dispatch._agent_link import AgentLink
 from persimmoncrank.coordination.dispatch._agent_streams import DispatchTimes
+from persimmoncrank.coordination.dispatch._crash_store import load_crashes, store_crashes
 from persimmoncrank.coordination.dispatch._directory import follow_directory, register_entry
 from persimmoncrank.coordination.dispatch._dispatcher import Dispatcher
 from persimmoncrank.coordination.dispatch._worker_choice import (
@@ -21,6 +22,8 @@
     "JobTask",
     "choose_worker",
     "follow_directory",
+    "load_crashes",
     "register_entry",
+    "store_crashes",
     "workers_with_capacity",
 ]
--- a/persimmoncrank/coordination/dispatch/_agent_link.py
+++ b/persimmoncrank/coordination/dispatch/_agent_link.py
@@ -63,6 +63,11 @@
     _unreported_demands: deque[tuple[int, Demand]] = field(default_factory=deque)
     _free: Demand = field(default_factory=Demand)
 
+    @property
+    def is_assigned(self) -> bool:
+        """Whether the agent is assigned to this entry: it sends frames at all times."""
+        return self.next_within_s == 0.0
+
     @property
     def free(self) -> Demand:
         """The worker's free resources, less the orders that its newest report does not include."""
--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -45,7 +45,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
 log = logging.getLogger(__name__)
 
@@ -70,9 +70,14 @@
         times: DispatchTimes,
         choose: ChooseWorker = choose_worker,
         remote_data_factor: float = 1.0,
+        on_new_crash: Callable[[WorkerCrash], None] = lambda _crash: None,
     ) -> None:
-        """Create a dispatcher without agents and queues."""
+        """Create a dispatcher without agents and queues.
+
+        ``on_new_crash`` is called with the crashes that this entry should store.
+        """
         self.entry = entry
+        self._on_new_crash = on_new_crash
         self._remote_data_factor = remote_data_factor
         self.jobs: dict[str, JobRun] = {}
         self.pending: list[JobTask] = []
@@ -402,8 +407,11 @@
     def _handle_crash(self, crash: WorkerCrash, link: AgentLink) -> None:
         """Record a crash, and fail the jobs with a task under which too many workers crashed."""
         now_s = anyio.current_time()
-        if self.crashes.record(crash, now_s=now_s) is None:
+        known = self.crashes.record(crash, now_s=now_s)
+        if known is None:
             return
+        if link.is_assigned:
+            self._on_new_crash(known)
         log.warning(
             "entry: worker crashed agent=%s worker=%s life=%d runs=%d",
             link.hello.incarnation,
--- a/persimmoncrank/coordination/execution/_entry_links.py
+++ b/persimmoncrank/coordination/execution/_entry_links.py
@@ -26,7 +26,7 @@
     WorkerCrash,
     WorkerReport,
 )
-from persimmoncrank.state import rendezvous_score
+from persimmoncrank.state import CRASH_RETENTION_S, rendezvous_score
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -48,7 +48,6 @@
 IDLE_INTERVAL_PER_ENTRY_S = 0.12  # an agent sends at most 9 idle frames per second in all
 MIN_IDLE_INTERVAL_S = 1.0
 MAX_IDLE_INTERVAL_S = 10.0
-CRASH_RETENTION_S = 120.0  # longer than callers send a job again
 MAX_CRASHES = 64
 
 
--- a/persimmoncrank/state/__init__.py
+++ b/persimmoncrank/state/__init__.py
@@ -20,6 +20,7 @@
         EntryCounters,
     )
     from persimmoncrank.state._crash_history import (
+        CRASH_RETENTION_S,
         CrashHistory,
         CrashVerdict,
     )
@@ -64,6 +65,7 @@
     )
 
 __all__ = [
+    "CRASH_RETENTION_S",
     "MIN_PROGRESS_PERCENT",
     "NEVER_S",
     "AgentCounters",
@@ -100,6 +102,7 @@
 ]
 
 _MODULES = {
+    "CRASH_RETENTION_S": "_crash_history",
     "CrashVerdict": "_crash_history",
     "CrashHistory": "_crash_history",
     "MIN_PROGRESS_PERCENT": "_worker_health",
--- a/persimmoncrank/state/_crash_history.py
+++ b/persimmoncrank/state/_crash_history.py
@@ -19,7 +19,7 @@
 
 MAX_RECENT_CRASHES = 2  # under a task that had just been ordered
 MAX_CRASHES = 3  # under a task in any case
-RETENTION_S = 120.0  # longer than callers send a job again
+CRASH_RETENTION_S = 120.0  # longer than callers send a job again
 MAX_RECORDED_CRASHES = 4_096
 
 
@@ -51,7 +51,7 @@
         """Record a crash; return all that is known of it, or None if nothing was new."""
         key = (crash.worker, crash.incarnation)
         at_s = now_s - crash.age_s
-        if at_s < now_s - RETENTION_S:
+        if at_s < now_s - CRASH_RETENTION_S:
             return None
         recorded = self._crashes.setdefault(key, _RecordedCrash(at_s=at_s))
         new_runs = [run for run in crash.runs if run.ref not in recorded.runs]
@@ -102,7 +102,7 @@
         """Drop the crashes that are too old or too many to be kept."""
         while self._crashes:
             key, oldest = next(iter(self._crashes.items()))
-            is_expired = oldest.at_s < now_s - RETENTION_S
+            is_expired = oldest.at_s < now_s - CRASH_RETENTION_S
             if not is_expired and len(self._crashes) <= MAX_RECORDED_CRASHES:
                 return
             del self._crashes[key]
--- a/persimmoncrank/tests/test_crashing_tasks.py
+++ b/persimmoncrank/tests/test_crashing_tasks.py
@@ -92,7 +92,32 @@
         world.network.reset(process)
 
 
-FAULTS = [no_fault, kill_owner, freeze_owner, kill_agents, freeze_agents, reset_streams]
+async def kill_everything(world: WorkerWorld) -> None:
+    """Kill all entries and agents after each crash; only the store keeps the count."""
+    for count in range(1, 8):
+        await wait_for_crash(world, count)
+        await anyio.sleep(0.1)
+        entries, agents = sorted(world.entries), sorted(world.agents)
+        for name in entries:
+            world.kill_entry(name)
+        for name in agents:
+            world.kill_agent(name)
+        await anyio.sleep(0.5)
+        for name in entries:
+            world.start_entry(name)
+        for name in agents:
+            world.start_agent(name)
+
+
+FAULTS = [
+    no_fault,
+    kill_owner,
+    freeze_owner,
+    kill_agents,
+    freeze_agents,
+    reset_streams,
+    kill_everything,
+]
 
 
 @pytest.mark.parametrize("delay_s", [0.0, 0.01, 0.15], ids=["at once", "starting", "running"])
