Show a job as failed only if workers certainly crashed under one of its tasks

A job with a 20 s task whose worker was cut off, let its lease expire and only then restarted, three times, was shown as failed after 0 crashes under its task.

Cause: a run that was lost with an unreachable worker, or ordered through an agent that restarted with its worker, counted like one that was running when its worker crashed.

Change: a crash report says for each run whether the worker had confirmed it and crashed within its lease. All crashes count for giving up, so the limit on starts holds as before; two confirmed ones are needed for the answer failed. Else the answer is outcome_unknown, which is what the entry knows.

Test: test_job_whose_workers_crash_after_its_runs_expired_is_not_shown_as_failed fails when every crash counts as confirmed.

--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -156,11 +156,9 @@
         """
         run = self.jobs.get(job.job_id)
         if run is None:
-            cause = self._crash_cause(job.job_id)
-            if cause is not None:
-                log.info("entry: job failed on arrival job=%s cause=%s", job.job_id, cause)
-                self.counters.jobs_failed[ErrorKind.TASK_FAILED] += 1
-                return WorkerJobAnswer(cause=cause)
+            answer = self._crash_answer(job.job_id)
+            if answer is not None:
+                return self._answer_on_arrival(job, answer)
             error = self._admission_error(job)
             if error is not None:
                 log.info("entry: job refused job=%s cause=%s", job.job_id, error.message)
@@ -177,6 +175,14 @@
                 self._abort(run, "the caller left or its time is over")
         return run.answer or _deadline_exceeded("the job's deadline has passed")
 
+    def _answer_on_arrival(self, job: WorkerJob, answer: WorkerJobAnswer) -> WorkerJobAnswer:
+        """Count and return the answer of a job that is not admitted since it has failed before."""
+        error = answer.error
+        self.counters.jobs_failed[error.kind if error else ErrorKind.TASK_FAILED] += 1
+        cause = error.message if error else answer.cause
+        log.info("entry: job failed on arrival job=%s cause=%s", job.job_id, cause)
+        return answer
+
     def _admission_error(self, job: WorkerJob) -> ServiceError | None:
         """Return why a job cannot be admitted, or None."""
         if self._leave_deadline_s is not None and not self._ends_before(
@@ -421,16 +427,25 @@
         )
         for job_id in {run.ref.job_id for run in crash.runs}:
             run = self.jobs.get(job_id)
-            cause = self._crash_cause(job_id)
-            if run is not None and cause is not None:
+            answer = self._crash_answer(job_id)
+            if run is not None and answer is not None:
                 run.may_have_started = True
-                self._finish(run, WorkerJobAnswer(cause=cause))
+                self._finish(run, answer)
 
-    def _crash_cause(self, job_id: str) -> str | None:
-        """Return why a job is failed for its crashes, or None."""
-        for ref in self.crashes.tasks_of(job_id, CrashVerdict.GIVEN_UP):
-            return f"{self.crashes.crash_count(ref)} workers crashed under task {_name(ref)}"
-        return None
+    def _crash_answer(self, job_id: str) -> WorkerJobAnswer | None:
+        """Return the answer of a job whose tasks are not tried again, or None.
+
+        The job has failed only if the crashes are certain to have happened under one of its tasks.
+        """
+        given_up = self.crashes.tasks_of(job_id, CrashVerdict.GIVEN_UP)
+        if not given_up:
+            return None
+        ref = max(given_up, key=self.crashes.is_proven)
+        cause = f"{self.crashes.crash_count(ref)} workers crashed under task {_name(ref)}"
+        if self.crashes.is_proven(ref):
+            return WorkerJobAnswer(cause=cause)
+        message = f"{cause}, or just before it started"
+        return WorkerJobAnswer(error=ServiceError(kind=ErrorKind.OUTCOME_UNKNOWN, message=message))
 
     def _handle_task_done(self, task: JobTask) -> None:
         task.state = TaskState.DONE
--- a/persimmoncrank/coordination/execution/_worker_runner.py
+++ b/persimmoncrank/coordination/execution/_worker_runner.py
@@ -181,7 +181,7 @@
         )
         if has_crashed:
             crashed_at_s = self._now() if down_since_s is None else down_since_s
-            self._report_crash([*active, *self._unexplained_runs], crashed_at_s)
+            self._report_crash(active, crashed_at_s)
         for run in list(self.ledger.queued):
             self._end_queued(run, cause)
         for run in active:
@@ -189,14 +189,21 @@
         if self._group is not None:
             self._group.cancel_scope.cancel()
 
-    def _report_crash(self, runs: list[Run], crashed_at_s: float) -> None:
-        """Report the runs that may have been active when the worker crashed."""
+    def _report_crash(self, active: list[Run], crashed_at_s: float) -> None:
+        """Report the runs that were or may have been active when the worker crashed."""
         recent_s = crashed_at_s - RECENT_START_S
-        crashed = tuple(
-            CrashedRun(
-                ref=run.order.ref, kind=run.order.kind, is_recent=run.ordered_at_s >= recent_s
+
+        def crashed_run(run: Run, *, is_confirmed: bool) -> CrashedRun:
+            return CrashedRun(
+                ref=run.order.ref,
+                kind=run.order.kind,
+                is_recent=run.ordered_at_s >= recent_s,
+                is_confirmed=is_confirmed,
             )
-            for run in runs
+
+        crashed = (
+            *(crashed_run(run, is_confirmed=run.is_confirmed) for run in active),
+            *(crashed_run(run, is_confirmed=False) for run in self._unexplained_runs),
         )
         if crashed:
             self._events.crashed(crashed)
--- a/persimmoncrank/protocol/_dispatch.py
+++ b/persimmoncrank/protocol/_dispatch.py
@@ -99,11 +99,16 @@
 
 
 class CrashedRun(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """A run that was active when its worker crashed; ``is_recent`` if it had just been ordered."""
+    """A run that may have been active when its worker crashed.
+
+    ``is_recent`` means that it had just been ordered, ``is_confirmed`` that the worker had reported
+    it as running and crashed before its lease expired.
+    """
 
     ref: TaskRef
     kind: str
     is_recent: bool
+    is_confirmed: bool = False
 
 
 class WorkerCrash(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/persimmoncrank/standin/_worker.py
+++ b/persimmoncrank/standin/_worker.py
@@ -151,6 +151,12 @@
             sequence=self._sequence,
         )
 
+    @property
+    def has_runs(self) -> bool:
+        """Whether any run is active."""
+        self._end_due_runs()
+        return bool(self._running)
+
     @property
     def is_down(self) -> bool:
         """Whether the worker has crashed and not started again."""
@@ -158,6 +164,7 @@
 
     def crash(self, *, down_s: float = 0.0) -> None:
         """End all runs; start again after ``down_s`` as a new incarnation with empty state."""
+        self._end_due_runs()
         tasks = frozenset(run.task for run in self._running)
         self.crashes.append(CrashRecord(worker=self.name, at_s=anyio.current_time(), tasks=tasks))
         self._down_until_s = anyio.current_time() + down_s
--- a/persimmoncrank/state/_crash_history.py
+++ b/persimmoncrank/state/_crash_history.py
@@ -19,6 +19,7 @@
 
 MAX_RECENT_CRASHES = 2  # under a task that had just been ordered
 MAX_CRASHES = 3  # under a task in any case
+MIN_CONFIRMED_CRASHES = 2  # for a task to be called the cause
 CRASH_RETENTION_S = 120.0  # longer than callers send a job again
 MAX_RECORDED_CRASHES = 4_096
 
@@ -44,7 +45,7 @@
     """The recent crashes of all workers, from the reports of all agents."""
 
     _crashes: OrderedDict[CrashKey, _RecordedCrash] = field(default_factory=OrderedDict)
-    _by_task: dict[TaskRef, dict[CrashKey, bool]] = field(default_factory=dict)
+    _by_task: dict[TaskRef, dict[CrashKey, CrashedRun]] = field(default_factory=dict)
     _by_job: dict[str, set[TaskRef]] = field(default_factory=dict)
 
     def record(self, crash: WorkerCrash, *, now_s: float) -> WorkerCrash | None:
@@ -54,12 +55,12 @@
         if at_s < now_s - CRASH_RETENTION_S:
             return None
         recorded = self._crashes.setdefault(key, _RecordedCrash(at_s=at_s))
-        new_runs = [run for run in crash.runs if run.ref not in recorded.runs]
+        new_runs = [run for run in crash.runs if _adds_to(run, recorded.runs.get(run.ref))]
         if not new_runs:
             return None
         for run in new_runs:
             recorded.runs[run.ref] = run
-            self._by_task.setdefault(run.ref, {})[key] = run.is_recent
+            self._by_task.setdefault(run.ref, {})[key] = run
             self._by_job.setdefault(run.ref.job_id, set()).add(run.ref)
         self.expire(now_s=now_s)
         return WorkerCrash(
@@ -74,7 +75,7 @@
         crashes = self._by_task.get(task)
         if not crashes:
             return CrashVerdict.CLEAR
-        recent = sum(crashes.values())
+        recent = sum(run.is_recent for run in crashes.values())
         if recent >= MAX_RECENT_CRASHES or len(crashes) >= MAX_CRASHES:
             return CrashVerdict.GIVEN_UP
         if recent or len(crashes) == MAX_CRASHES - 1:
@@ -85,6 +86,11 @@
         """Return how many workers have crashed under a task."""
         return len(self._by_task.get(task, ()))
 
+    def is_proven(self, task: TaskRef) -> bool:
+        """Return whether enough workers have certainly crashed while they ran a task."""
+        crashes = self._by_task.get(task, {})
+        return sum(run.is_confirmed for run in crashes.values()) >= MIN_CONFIRMED_CRASHES
+
     def tasks_of(self, job_id: str, verdict: CrashVerdict) -> list[TaskRef]:
         """Return the tasks of a job with a verdict."""
         return [ref for ref in self._by_job.get(job_id, ()) if self.verdict(ref) is verdict]
@@ -119,3 +125,8 @@
         tasks.discard(ref)
         if not tasks:
             del self._by_job[ref.job_id]
+
+
+def _adds_to(run: CrashedRun, known: CrashedRun | None) -> bool:
+    """Return whether a report of a run says more than what is known of it."""
+    return known is None or (run.is_confirmed and not known.is_confirmed)
--- a/persimmoncrank/state/_run_ledger.py
+++ b/persimmoncrank/state/_run_ledger.py
@@ -56,6 +56,11 @@
         """The run's identifier at the worker."""
         return RunRef(task=self.order.ref, number=self.number)
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the worker has reported the run as running."""
+        return self.started_at_s > 0.0
+
     @property
     def start_deadline_s(self) -> float:
         """The time at which the order becomes void if it has not started."""
--- a/persimmoncrank/tests/test_crashing_tasks.py
+++ b/persimmoncrank/tests/test_crashing_tasks.py
@@ -13,7 +13,8 @@
 
 from persimmoncrank.bench._network import run_virtual
 from persimmoncrank.bench._worker_world import WorkerWorld, make_worker_job
-from persimmoncrank.protocol import TaskRef, WorkerJobAnswer
+from persimmoncrank.protocol import CrashedRun, TaskRef, WorkerCrash, WorkerJobAnswer
+from persimmoncrank.state import CrashHistory, CrashVerdict
 from persimmoncrank.tests.worker_invariants import check_all
 
 if TYPE_CHECKING:
@@ -22,6 +23,7 @@
 JOB_ID = "d" * 16
 CRASHING_TASK = TaskRef(job_id=JOB_ID, step=0, index=1)
 MAX_STARTS = 5  # three crashes, and two starts after them
+MIN_CRASHES = 2  # before a job may be shown as failed
 
 
 def crash_count(world: WorkerWorld, task: TaskRef = CRASHING_TASK) -> int:
@@ -29,6 +31,11 @@
     return sum(task in crash.tasks for worker in world.workers.values() for crash in worker.crashes)
 
 
+def is_called_the_cause(answer: WorkerJobAnswer) -> bool:
+    """Return whether a job was shown as failed, as one that no other try would complete."""
+    return answer.error is None and not answer.is_completed
+
+
 def owner(world: WorkerWorld) -> str:
     """Return the name of the entry that coordinates the job."""
     return next(name for name, entry in world.entries.items() if JOB_ID in entry.node.jobs)
@@ -137,6 +144,7 @@
             await anyio.sleep(5.0)
             check_all(world)
             assert crash_count(world) <= (3 if fault is no_fault else MAX_STARTS)
+            assert not is_called_the_cause(answer) or crash_count(world) >= MIN_CRASHES
             group.cancel_scope.cancel()
         return answer
 
@@ -166,3 +174,83 @@
             group.cancel_scope.cancel()
 
     run_virtual(main, seed=seed)
+
+
+def test_job_whose_workers_crash_after_its_runs_expired_is_not_shown_as_failed() -> None:
+    """A worker that is cut off ends its runs when its lease expires, and may crash later."""
+
+    async def main() -> WorkerJobAnswer:
+        answers: list[WorkerJobAnswer] = []
+        async with anyio.create_task_group() as group:
+            world = WorkerWorld(group=group, run_s=lambda _task: 20.0)
+            await world.start(entries=1, agents=4)
+            job = make_worker_job(JOB_ID, tasks=1, estimate_s=20.0, deadline_s=60.0)
+
+            async def submit() -> None:
+                answers.append(await world.submit_until_answered(job, tries=1))
+
+            group.start_soon(submit)
+            for _ in range(4):
+                await anyio.sleep(0.5)
+                busy = [worker for worker in world.workers.values() if worker.has_runs]
+                for worker in busy:
+                    worker.faults.is_unresponsive = True
+                await anyio.sleep(2.0)
+                for worker in busy:
+                    worker.crash()
+                    worker.faults.is_unresponsive = False
+            await anyio.sleep(1.0)
+            assert crash_count(world, TaskRef(job_id=JOB_ID, step=0, index=0)) == 0
+            group.cancel_scope.cancel()
+        return answers[0]
+
+    assert not is_called_the_cause(run_virtual(main))
+
+
+FIRST_LIFE, SECOND_LIFE, THIRD_LIFE = ("a", 1), ("b", 1), ("a", 2)
+
+
+@pytest.mark.parametrize(
+    ("crashes", "verdict", "is_proven"),
+    [
+        ([], CrashVerdict.CLEAR, False),
+        ([(FIRST_LIFE, False, True)], CrashVerdict.CLEAR, False),
+        ([(FIRST_LIFE, True, True)], CrashVerdict.SUSPECT, False),
+        ([(FIRST_LIFE, True, True)] * 2, CrashVerdict.SUSPECT, False),
+        ([(FIRST_LIFE, False, True), (SECOND_LIFE, False, True)], CrashVerdict.SUSPECT, True),
+        ([(FIRST_LIFE, True, True), (SECOND_LIFE, True, True)], CrashVerdict.GIVEN_UP, True),
+        ([(FIRST_LIFE, True, False), (SECOND_LIFE, True, True)], CrashVerdict.GIVEN_UP, False),
+        (
+            [(life, False, False) for life in (FIRST_LIFE, SECOND_LIFE, THIRD_LIFE)],
+            CrashVerdict.GIVEN_UP,
+            False,
+        ),
+        (
+            [(FIRST_LIFE, True, False), (FIRST_LIFE, True, True), (SECOND_LIFE, True, True)],
+            CrashVerdict.GIVEN_UP,
+            True,
+        ),
+    ],
+    ids=[
+        "none",
+        "one while running",
+        "one while starting",
+        "one, reported twice",
+        "two while running",
+        "two while starting",
+        "two, one of them uncertain",
+        "three uncertain ones",
+        "uncertain, then confirmed",
+    ],
+)
+def test_crashes_of_different_workers_decide_about_a_task(
+    crashes: list[tuple[tuple[str, int], bool, bool]], verdict: CrashVerdict, is_proven: bool
+) -> None:
+    history = CrashHistory()
+    for (worker, incarnation), is_recent, is_confirmed in crashes:
+        run = CrashedRun(
+            ref=CRASHING_TASK, kind="q", is_recent=is_recent, is_confirmed=is_confirmed
+        )
+        history.record(WorkerCrash(worker=worker, incarnation=incarnation, runs=(run,)), now_s=1.0)
+    assert history.verdict(CRASHING_TASK) is verdict
+    assert history.is_proven(CRASHING_TASK) is is_proven
