Confine a kind of task whose tasks crash their workers

Giving up such tasks bounds the crashes a job, not the damage of each, nor the number of jobs.

Change, all in one module without I/O (coordination/dispatch/_containment.py): - A task that may have caused a crash is tried again alone among its like: one trial at a time for ten workers, on the emptiest one, and only while at most one worker in five is down. If there is no trial in time, its job is answered with deadline_exceeded, not as failed: it had one crash. - The kind that had just been started in most of the crashes of the last 5 s, with a task proven to crash workers or three crashes, is confined to a third of the workers of its service. Other kinds use the rest. In the confined part, the tasks of a job go to one worker. - A job whose usable workers are all down is refused at once, as not run.

--- a/persimmoncrank/coordination/dispatch/_agent_streams.py
+++ b/persimmoncrank/coordination/dispatch/_agent_streams.py
@@ -294,4 +294,6 @@
     )
     if not runs:
         return None
-    return WorkerCrash(worker=old.worker, incarnation=old.worker_incarnation, runs=runs)
+    return WorkerCrash(
+        worker=old.worker, incarnation=old.worker_incarnation, runs=runs, service=old.service
+    )
--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -10,6 +10,11 @@
 
 from persimmoncrank.coordination.dispatch._agent_link import AgentLink, OpenOrder
 from persimmoncrank.coordination.dispatch._agent_streams import AgentStreams, DispatchTimes
+from persimmoncrank.coordination.dispatch._containment import (
+    Containment,
+    choose_confined,
+    choose_for_trial,
+)
 from persimmoncrank.coordination.dispatch._worker_choice import (
     ChooseWorker,
     choose_worker,
@@ -94,6 +99,7 @@
         )
         self.links = self.streams.links
         self.crashes = CrashHistory()
+        self.containment = Containment(crashes=self.crashes)
         self.counters = EntryCounters()
         self.job_times = LatencyHistogram()
         self._choose = choose
@@ -307,28 +313,52 @@
         """Place pending tasks in order until no worker has capacity for the next one.
 
         A task that only certain workers may run, or run in time, does not block the tasks behind
-        it; its agents start waiting orders by priority.
+        it; its agents start waiting orders by priority. Neither does one whose trial has to wait.
         """
         now_s = anyio.current_time()
+        self.containment.update(self.links.values(), now_s=now_s)
+        full_pools: set[bool] = set()
         unplaced: list[JobTask] = []
         unplaced_steps: set[int] = set()
         for number, task in enumerate(self.pending):
-            if id(task.step) in unplaced_steps:
+            is_confined = self.containment.is_confined(task)
+            if is_confined in full_pools or id(task.step) in unplaced_steps:
                 unplaced.append(task)
                 continue
-            links = self.streams.index.candidates(task.step.label or task.step.rack, now_s=now_s)
-            link = self._choose(task, links, withdrawn=self.withdrawn, now_s=now_s)
+            is_suspect = self.containment.is_suspect(task)
+            link = self._find_worker(task, is_suspect=is_suspect, now_s=now_s)
             if link is not None:
-                self._order_task(task, link, now_s=now_s)
+                self._order_task(task, link, is_trial=is_suspect, now_s=now_s)
                 continue
             unplaced.append(task)
+            if is_suspect:
+                continue
             unplaced_steps.add(id(task.step))
             if not _is_selective(task) or len(unplaced_steps) >= MAX_UNPLACED_STEPS:
+                full_pools.add(is_confined)
+            if len(full_pools) == self.containment.pool_count:
                 unplaced += self.pending[number + 1 :]
                 break
         self.pending = unplaced
 
-    def _order_task(self, task: JobTask, link: AgentLink, *, now_s: float) -> None:
+    def _find_worker(self, task: JobTask, *, is_suspect: bool, now_s: float) -> AgentLink | None:
+        """Return the worker for a pending task, or None if it has to wait."""
+        if is_suspect and not self.containment.may_try(self.links.values(), now_s=now_s):
+            return None
+        candidates = (
+            self.links.values()
+            if is_suspect
+            else self.streams.index.candidates(task.step.label or task.step.rack, now_s=now_s)
+        )
+        choose = self._choose
+        if is_suspect:
+            choose = choose_for_trial
+        elif self.containment.is_confined(task):
+            choose = choose_confined
+        links = self.containment.usable_links(task, candidates)
+        return choose(task, links, withdrawn=self.withdrawn, now_s=now_s)
+
+    def _order_task(self, task: JobTask, link: AgentLink, *, is_trial: bool, now_s: float) -> None:
         job, report = task.job, link.report
         is_probe = not link.is_current(now_s=now_s)
         start_within_s = max(job.useful_until_s - now_s, 0.0)
@@ -344,6 +374,8 @@
             start_within_s=min(start_within_s, PROBE_WAIT_S) if is_probe else start_within_s,
             kind=task.kind,
         )
+        if is_trial:
+            self.containment.start_trial(order.order_id, now_s=now_s)
         task.state = TaskState.ORDERED
         task.order_id = order.order_id
         open_order = OpenOrder(task=task, order=order, is_probe=is_probe)
@@ -352,7 +384,7 @@
         self.counters.tasks_placed += 1
         log.info(
             "placement: task ordered job=%s task=%d.%d worker=%s slowness=%.2f free_cpu=%d"
-            " report_age_ms=%d near_data=%s",
+            " report_age_ms=%d near_data=%s trial=%s",
             task.ref.job_id,
             task.ref.step,
             task.ref.index,
@@ -361,6 +393,7 @@
             link.free.cpu_millis,
             (now_s - link.heard_at_s) * 1000,
             is_near_data(task, link) if task.step.rack else "any",
+            is_trial,
         )
 
     # Ends of orders.
@@ -375,6 +408,7 @@
         """Mark the task of an ended order as done, fail its job, or place the task again."""
         task, run = order.task, order.task.job
         run.open_orders.pop(order.order.order_id, None)
+        self.containment.end_order(order.order.order_id)
         if order.is_probe and outcome is OrderOutcome.NOT_STARTED:
             task.probes += 1
             if link is not None:
@@ -447,6 +481,17 @@
         message = f"{cause}, or just before it started"
         return WorkerJobAnswer(error=ServiceError(kind=ErrorKind.OUTCOME_UNKNOWN, message=message))
 
+    def _untried_cause(self, run: JobRun) -> str | None:
+        """Return why a job with a pending suspect task is failed, or None if it has none."""
+        suspects = self.crashes.tasks_of(run.job.job_id, CrashVerdict.SUSPECT)
+        pending = {task.ref for task in run.tasks if task.state is TaskState.PENDING}
+        for ref in suspects:
+            if ref in pending:
+                return (
+                    f"a worker crashed under task {_name(ref)}, which was not tried again in time"
+                )
+        return None
+
     def _handle_task_done(self, task: JobTask) -> None:
         task.state = TaskState.DONE
         run = task.job
@@ -473,8 +518,14 @@
     def _check_job(self, run: JobRun, now_s: float) -> None:
         """Abandon a job that has not started and can no longer be answered usefully.
 
-        The job is refused as not run once all of its orders have ended without a start.
+        The job is refused as not run once all of its orders have ended without a start. A job that
+        waits for the trial of a task fails once that would end too late.
         """
+        if now_s >= run.useful_until_s - run.critical_path_s:
+            cause = self._untried_cause(run)
+            if cause is not None:
+                self._abort(run, cause)
+                return
         if not run.is_abandoned:
             if run.may_have_started or not self._is_unservable(run, now_s):
                 return
@@ -513,7 +564,8 @@
     def _has_eligible_worker(self, task: JobTask) -> bool:
         """Return whether a connected worker may run a task."""
         return any(
-            is_eligible(task, link, withdrawn=self.withdrawn) for link in self.links.values()
+            is_eligible(task, link, withdrawn=self.withdrawn)
+            for link in self.containment.usable_links(task, self.links.values())
         )
 
 
--- a/persimmoncrank/coordination/execution/_worker_agent.py
+++ b/persimmoncrank/coordination/execution/_worker_agent.py
@@ -369,7 +369,12 @@
                 run.is_recent,
             )
         self.links.report_crash(
-            WorkerCrash(worker=worker.worker, incarnation=worker.incarnation, runs=runs)
+            WorkerCrash(
+                worker=worker.worker,
+                incarnation=worker.incarnation,
+                runs=runs,
+                service=worker.service,
+            )
         )
 
     def _report(self, session: EntrySession) -> WorkerReport | None:
--- a/persimmoncrank/protocol/_dispatch.py
+++ b/persimmoncrank/protocol/_dispatch.py
@@ -115,13 +115,14 @@
     """A crash of one incarnation of a worker, and runs that were active on it.
 
     Several messages may report different runs of the same crash. ``age_s`` is the time since the
-    crash when the message is made.
+    crash when the message is made. ``service`` is that of the worker.
     """
 
     worker: str
     incarnation: int
     runs: tuple[CrashedRun, ...]
     age_s: float = 0.0
+    service: str = ""
 
 
 class OrderEnd(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/persimmoncrank/state/__init__.py
+++ b/persimmoncrank/state/__init__.py
@@ -21,6 +21,7 @@
     )
     from persimmoncrank.state._crash_history import (
         CRASH_RETENTION_S,
+        CommonKind,
         CrashHistory,
         CrashVerdict,
     )
@@ -72,6 +73,7 @@
     "AgentView",
     "AgentViews",
     "Breaker",
+    "CommonKind",
     "CrashHistory",
     "CrashVerdict",
     "DurationEstimator",
@@ -104,6 +106,7 @@
 _MODULES = {
     "CRASH_RETENTION_S": "_crash_history",
     "CrashVerdict": "_crash_history",
+    "CommonKind": "_crash_history",
     "CrashHistory": "_crash_history",
     "MIN_PROGRESS_PERCENT": "_worker_health",
     "LatencyHistogram": "_latency_histogram",
--- a/persimmoncrank/state/_crash_history.py
+++ b/persimmoncrank/state/_crash_history.py
@@ -8,7 +8,7 @@
 
 import enum
 import logging
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from dataclasses import dataclass, field
 
 from persimmoncrank.protocol import CrashedRun, TaskRef, WorkerCrash
@@ -32,11 +32,26 @@
     GIVEN_UP = "given up"
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CommonKind:
+    """A kind of a service's tasks that had just been started in some crashes.
+
+    ``share`` is their share of all crashes in the time considered.
+    """
+
+    service: str
+    kind: str
+    crashes: int
+    share: float
+    has_proven_task: bool
+
+
 @dataclass(kw_only=True)
 class _RecordedCrash:
     """One crash and the runs that are known to have been active."""
 
     at_s: float
+    service: str
     runs: dict[TaskRef, CrashedRun] = field(default_factory=dict)
 
 
@@ -54,7 +69,7 @@
         at_s = now_s - crash.age_s
         if at_s < now_s - CRASH_RETENTION_S:
             return None
-        recorded = self._crashes.setdefault(key, _RecordedCrash(at_s=at_s))
+        recorded = self._crashes.setdefault(key, _RecordedCrash(at_s=at_s, service=crash.service))
         new_runs = [run for run in crash.runs if _adds_to(run, recorded.runs.get(run.ref))]
         if not new_runs:
             return None
@@ -68,6 +83,7 @@
             incarnation=crash.incarnation,
             runs=tuple(recorded.runs.values()),
             age_s=now_s - recorded.at_s,
+            service=recorded.service,
         )
 
     def verdict(self, task: TaskRef) -> CrashVerdict:
@@ -95,14 +111,37 @@
         """Return the tasks of a job with a verdict."""
         return [ref for ref in self._by_job.get(job_id, ()) if self.verdict(ref) is verdict]
 
-    def count_since(self, since_s: float) -> int:
-        """Return the number of crashes since a time."""
-        count = 0
+    def has_crashed(self, worker: str, incarnation: int) -> bool:
+        """Return whether an incarnation of a worker has crashed."""
+        return (worker, incarnation) in self._crashes
+
+    def common_kind(self, *, since_s: float) -> CommonKind | None:
+        """Return the kind that had just been started in the most crashes since a time, or None.
+
+        Crashes without any task that had just been started say nothing about kinds.
+        """
+        crashes = 0
+        counts: Counter[tuple[str, str]] = Counter()
+        kinds_with_proof: set[str] = set()
         for crash in reversed(self._crashes.values()):
             if crash.at_s < since_s:
                 break
-            count += 1
-        return count
+            recent = [run for run in crash.runs.values() if run.is_recent]
+            crashes += bool(recent)
+            counts.update({(crash.service, run.kind) for run in recent})
+            kinds_with_proof |= {run.kind for run in recent if self.is_proven(run.ref)}
+        if not counts:
+            return None
+        ((service, kind), count), *others = counts.most_common(2)
+        if others and others[0][1] == count:
+            return None
+        return CommonKind(
+            service=service,
+            kind=kind,
+            crashes=count,
+            share=count / crashes,
+            has_proven_task=kind in kinds_with_proof,
+        )
 
     def expire(self, *, now_s: float) -> None:
         """Drop the crashes that are too old or too many to be kept."""
