Keep to a worker's capacity when it shrinks while tasks run

Cause: the agent read the capacity from the first heartbeat of an incarnation only. Entries saw the newer one in reports, the account of free resources did not.

Change: each heartbeat updates the account. What runs or is being stopped still counts; nothing starts until enough has ended. A queued order that does not fit any more is returned at once.

Why it works: the account is the only place that decides about a start, and the agent the only caller of its worker.

Tests: test_no_run_starts_beyond_a_capacity_that_has_shrunk fails in three of its four cases without the update. The histories shrink workers too, and check starts against the capacity announced.

--- a/persimmoncrank/coordination/execution/_worker_agent.py
+++ b/persimmoncrank/coordination/execution/_worker_agent.py
@@ -142,7 +142,7 @@
         if self.runner is None:
             self._worker_changed.set()
         else:
-            self.runner.worker = heartbeat
+            self.runner.update_worker(heartbeat)
         if known.is_draining != heartbeat.is_draining:
             log.info("agent: worker draining worker=%s", heartbeat.worker)
             self._return_queued_orders("the worker is draining")
--- a/persimmoncrank/coordination/execution/_worker_runner.py
+++ b/persimmoncrank/coordination/execution/_worker_runner.py
@@ -189,6 +189,26 @@
         if self._group is not None:
             self._group.cancel_scope.cancel()
 
+    def update_worker(self, heartbeat: WorkerHeartbeat) -> None:
+        """Apply a heartbeat of the same incarnation, whose capacity may have changed."""
+        self.worker = heartbeat
+        if heartbeat.capacity == self.ledger.capacity:
+            return
+        log.info(
+            "agent: capacity changed worker=%s cpu=%d cpu_before=%d cpu_used=%d memory_mb=%d",
+            heartbeat.worker,
+            heartbeat.capacity.cpu_millis,
+            self.ledger.capacity.cpu_millis,
+            self.ledger.used.cpu_millis,
+            heartbeat.capacity.memory_mb,
+        )
+        self.ledger.capacity = heartbeat.capacity
+        for run in list(self.ledger.queued):
+            if not run.order.demand.fits_in(heartbeat.capacity):
+                self._end_queued(run, "the worker's capacity has shrunk")
+        self.start_queued()
+        self._events.changed()
+
     def _report_crash(self, active: list[Run], crashed_at_s: float) -> None:
         """Report the runs that were or may have been active when the worker crashed."""
         recent_s = crashed_at_s - RECENT_START_S
--- a/persimmoncrank/standin/_worker.py
+++ b/persimmoncrank/standin/_worker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -118,6 +119,7 @@
     faults: WorkerFaults = field(default_factory=WorkerFaults)
     history: list[WorkerHistoryEntry] = field(default_factory=list)
     crashes: list[CrashRecord] = field(default_factory=list)
+    resizes: list[tuple[float, Demand]] = field(default_factory=list)
     _down_until_s: float = 0.0
     _sequence: int = 0
     _clock_origin_s: float = 0.0
@@ -151,6 +153,26 @@
             sequence=self._sequence,
         )
 
+    def resize(self, capacity: Demand) -> None:
+        """Change the capacity; the worker's next heartbeat shows it."""
+        self.resizes.append((anyio.current_time(), self.capacity))
+        self.capacity = capacity
+
+    def max_capacity(self, *, since_s: float, until_s: float) -> Demand:
+        """Return the largest capacity in a time span, for each resource."""
+        changes = [*self.resizes, (math.inf, self.capacity)]
+        starts_s = [-math.inf, *(at_s for at_s, _ in self.resizes)]
+        found = [
+            capacity
+            for from_s, (to_s, capacity) in zip(starts_s, changes, strict=True)
+            if from_s <= until_s and to_s >= since_s
+        ]
+        return Demand(
+            cpu_millis=max(capacity.cpu_millis for capacity in found),
+            memory_mb=max(capacity.memory_mb for capacity in found),
+            accelerators=max(capacity.accelerators for capacity in found),
+        )
+
     @property
     def has_runs(self) -> bool:
         """Whether any run is active."""
--- a/persimmoncrank/tests/test_worker_histories.py
+++ b/persimmoncrank/tests/test_worker_histories.py
@@ -13,6 +13,7 @@
 
 from persimmoncrank.bench._network import run_virtual
 from persimmoncrank.bench._worker_world import WorkerWorld, make_worker_job
+from persimmoncrank.protocol import Demand
 from persimmoncrank.tests.worker_invariants import check_all
 
 if TYPE_CHECKING:
@@ -96,6 +97,20 @@
     world.agents[name].node.handle_heartbeat(world.workers[name].heartbeat())
 
 
+async def shrink_worker(world: WorkerWorld, rng: random.Random) -> None:
+    """Shrink a worker for a random time, and freeze its agent meanwhile in one case of two."""
+    name = rng.choice(sorted(world.workers))
+    worker = world.workers[name]
+    capacity = worker.capacity
+    if rng.random() < 0.5:
+        world.network.frozen.add(name)
+    worker.resize(Demand(cpu_millis=rng.choice([1600, 4000, 8000]), memory_mb=32_768))
+    await anyio.sleep(rng.uniform(0.5, 6.0))
+    world.network.frozen.discard(name)
+    await anyio.sleep(2.0)
+    worker.resize(capacity)
+
+
 async def make_worker_unresponsive(world: WorkerWorld, rng: random.Random) -> None:
     """Make a worker unresponsive for a random time."""
     worker = world.workers[rng.choice(sorted(world.workers))]
@@ -172,6 +187,7 @@
     crash_worker,
     make_worker_unresponsive,
     fail_runs_on_worker,
+    shrink_worker,
 ]
 
 
--- a/persimmoncrank/tests/test_worker_runner.py
+++ b/persimmoncrank/tests/test_worker_runner.py
@@ -398,3 +398,48 @@
         assert anyio.current_time() - sent_at_s < within_s
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    ("cores", "is_stopping", "expected"),
+    [(4, False, {1, 2, 3, 4}), (3, False, {1, 2, 3}), (2, False, {1, 2}), (2, True, {1, 2})],
+    ids=["unchanged", "fits one more", "full", "full while a run is being stopped"],
+)
+def test_no_run_starts_beyond_a_capacity_that_has_shrunk(
+    cores: int, is_stopping: bool, expected: set[int]
+) -> None:
+    async def scenario(group: TaskGroup) -> None:
+        harness = Harness(run_s=5.0)
+        runner = await harness.start(group)
+        runs = {number: make_run(number) for number in range(1, 5)}
+        runner.submit(runs[1])
+        runner.submit(runs[2])
+        await anyio.sleep(0.3)
+        harness.worker.resize(Demand(cpu_millis=cores * 1000, memory_mb=1000))
+        runner.update_worker(harness.worker.heartbeat())
+        if is_stopping:
+            runner.stop(runs[1], "not needed")
+        runner.submit(runs[3])
+        runner.submit(runs[4])
+        assert {run.order.order_id for run in runner.ledger.active.values()} == expected
+        harness.worker.resize(Demand(cpu_millis=4000, memory_mb=1000))
+        runner.update_worker(harness.worker.heartbeat())
+        await anyio.sleep(0.3)
+        assert not runner.ledger.queued
+
+    run_scenario(scenario)
+
+
+def test_queued_run_that_never_fits_a_shrunk_capacity_is_returned_at_once() -> None:
+    async def scenario(group: TaskGroup) -> None:
+        harness = Harness(run_s=5.0)
+        runner = await harness.start(group)
+        runner.submit(make_run(1, cpu_millis=3000))
+        runner.submit(make_run(2, cpu_millis=4000))
+        runner.submit(make_run(3))
+        await anyio.sleep(0.3)
+        harness.worker.resize(Demand(cpu_millis=3000, memory_mb=1000))
+        runner.update_worker(harness.worker.heartbeat())
+        assert harness.ends == [(2, OrderOutcome.NOT_STARTED)]
+
+    run_scenario(scenario)
