Start nothing on a worker whose capacity is not known any more

Cause: an agent that was frozen for some seconds had missed the heartbeats that show a capacity that has shrunk meanwhile, and started the orders it got in the time until the next one. A heartbeat held up on the way could also bring back an older capacity.

Change: an agent accepts nothing while its newest heartbeat is older than 2.25 intervals, on the clock that counts suspended time, and ignores a heartbeat that its worker gave up a second or more ago, by the worker's own clock. The interval is a setting, worker_heartbeat_s.

Why it works: a capacity that shrank may be exceeded for the contact time and one heartbeat, which is longer than the age that is accepted here and the time a heartbeat may be on its way.

Test: test_capacity_that_shrank_is_kept_to[frozen] fails if the age is ignored, and so does test_delayed_heartbeat_is_ignored if delayed ones are applied.

--- a/persimmoncrank/bench/_worker_world.py
+++ b/persimmoncrank/bench/_worker_world.py
@@ -354,7 +354,9 @@
                 lease_clock=anyio.current_time,
                 first_fence=incarnation_number,
             ),
-            times=LeaseTimes(entry_lease_s=LEASE_S, worker_lease_s=LEASE_S),
+            times=LeaseTimes(
+                entry_lease_s=LEASE_S, worker_lease_s=LEASE_S, heartbeat_interval_s=HEARTBEAT_S
+            ),
         )
         agent.wait_times = _RecordingHistogram(times_s=self.waits_s)
         scope = anyio.CancelScope()
@@ -363,7 +365,7 @@
         async def send_heartbeats() -> None:
             while True:
                 self.versions.append((agent.hello.incarnation, agent.config_version))
-                if not worker.is_down:
+                if not worker.is_down and name not in self.network.frozen:
                     agent.handle_heartbeat(worker.heartbeat())
                 await anyio.sleep(HEARTBEAT_S)
 
--- a/persimmoncrank/commands/dispatch.py
+++ b/persimmoncrank/commands/dispatch.py
@@ -244,7 +244,11 @@
             lease_clock=_boot_time_s,
             first_fence=time.time_ns() // 1_000_000,
         ),
-        times=LeaseTimes(entry_lease_s=lease_s, worker_lease_s=lease_s),
+        times=LeaseTimes(
+            entry_lease_s=lease_s,
+            worker_lease_s=lease_s,
+            heartbeat_interval_s=settings.worker_heartbeat_s,
+        ),
     )
 
     def make_agent_metrics() -> Metrics:
--- a/persimmoncrank/coordination/execution/_worker_agent.py
+++ b/persimmoncrank/coordination/execution/_worker_agent.py
@@ -36,6 +36,8 @@
 LEASE_WAIT_S = 0.5  # an order without a lease after this time came from an entry that is gone
 LEASE_WAIT_CHECK_INTERVAL_S = 0.1
 REPORTED_SLOWNESS_DIGITS = 2
+MAX_HEARTBEAT_AGE = 2.25  # in intervals, so that one heartbeat may be lost
+HEARTBEAT_TIMEOUT_S = 1.0  # a worker gives up a heartbeat that is not acknowledged within this time
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -55,10 +57,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LeaseTimes:
-    """The durations of an entry's lease at an agent and of an agent's lease at its worker."""
+    """The durations of an entry's lease at an agent and of an agent's lease at its worker.
+
+    ``heartbeat_interval_s`` is the time between two heartbeats of the worker.
+    """
 
     entry_lease_s: float
     worker_lease_s: float
+    heartbeat_interval_s: float
 
 
 class WorkerAgent:
@@ -89,6 +95,7 @@
         self._times = times
         self._heartbeat: WorkerHeartbeat | None = None
         self._last_heartbeat: WorkerHeartbeat | None = None
+        self._heartbeat_at_s = 0.0
         self._waiting_for_lease: list[Run] = []
         self._lease_awaited = anyio.Event()
         self._worker_changed = anyio.Event()
@@ -125,7 +132,14 @@
         if known is not None and _heartbeat_version(heartbeat) < _heartbeat_version(known):
             log.info("agent: out-of-date heartbeat ignored worker=%s", heartbeat.worker)
             return False
+        if self.runner is not None and self.runner.is_delayed(
+            heartbeat, limit_s=HEARTBEAT_TIMEOUT_S
+        ):
+            log.info("agent: delayed heartbeat ignored worker=%s", heartbeat.worker)
+            return False
+        was_accepting = self._is_accepting()
         self._heartbeat = self._last_heartbeat = heartbeat
+        self._heartbeat_at_s = self._ports.lease_clock()
         if known is None or (known.worker, known.incarnation) != (
             heartbeat.worker,
             heartbeat.incarnation,
@@ -143,6 +157,8 @@
             self._worker_changed.set()
         else:
             self.runner.update_worker(heartbeat)
+        if self._is_accepting() is not was_accepting:
+            self.links.wake_all_senders()
         if known.is_draining != heartbeat.is_draining:
             log.info("agent: worker draining worker=%s", heartbeat.worker)
             self._return_queued_orders("the worker is draining")
@@ -200,8 +216,14 @@
             and not heartbeat.is_draining
             and not self._is_leaving
             and self.hello.domain not in self.withdrawn
+            and self._has_recent_heartbeat()
         )
 
+    def _has_recent_heartbeat(self) -> bool:
+        """Return whether the worker's capacity is known; it may have shrunk since a heartbeat."""
+        age_s = self._ports.lease_clock() - self._heartbeat_at_s
+        return age_s <= MAX_HEARTBEAT_AGE * self._times.heartbeat_interval_s
+
     def _return_queued_orders(self, cause: str) -> None:
         self._return_waiting_orders(list(self._waiting_for_lease), cause)
         if self.runner is not None:
--- a/persimmoncrank/coordination/execution/_worker_runner.py
+++ b/persimmoncrank/coordination/execution/_worker_runner.py
@@ -189,6 +189,13 @@
         if self._group is not None:
             self._group.cancel_scope.cancel()
 
+    def is_delayed(self, heartbeat: WorkerHeartbeat, *, limit_s: float) -> bool:
+        """Return whether the worker sent a heartbeat more than ``limit_s`` ago."""
+        is_same_clock = heartbeat.incarnation == self.worker.incarnation and self._clock.is_known
+        if not is_same_clock or heartbeat.clock_ms < 0:
+            return False
+        return self._clock.estimate_ms(now_s=self._now()) - heartbeat.clock_ms > limit_s * 1000
+
     def update_worker(self, heartbeat: WorkerHeartbeat) -> None:
         """Apply a heartbeat of the same incarnation, whose capacity may have changed."""
         self.worker = heartbeat
--- a/persimmoncrank/protocol/_dispatch.py
+++ b/persimmoncrank/protocol/_dispatch.py
@@ -334,7 +334,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WorkerHeartbeat:
-    """The state that a worker announces; ``incarnation`` increases each time the worker starts."""
+    """The state that a worker announces; ``incarnation`` increases each time the worker starts.
+
+    ``clock_ms`` is the time on the worker's clock when it sent the heartbeat, -1 if not known.
+    """
 
     worker: str
     incarnation: int
@@ -344,3 +347,4 @@
     capacity: Demand
     is_draining: bool
     sequence: int
+    clock_ms: int = -1
--- a/persimmoncrank/settings/_schema.py
+++ b/persimmoncrank/settings/_schema.py
@@ -125,9 +125,13 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class DispatchAgentSettings(DispatchSettings):
-    """The settings of an agent that serves one worker."""
+    """The settings of an agent that serves one worker.
+
+    The worker sends a heartbeat every ``worker_heartbeat_s``.
+    """
 
     worker_address: Address
+    worker_heartbeat_s: Seconds = 1.5
 
 
 def stream_seeds(settings: DispatchSettings) -> tuple[str, ...]:
--- a/persimmoncrank/standin/_worker.py
+++ b/persimmoncrank/standin/_worker.py
@@ -151,6 +151,7 @@
             capacity=self.capacity,
             is_draining=self.is_draining,
             sequence=self._sequence,
+            clock_ms=self.clock_ms,
         )
 
     def resize(self, capacity: Demand) -> None:
