Give up an idempotent task whose backend servers are lost while it runs

Callers saw (own interface, found by looking for the same cause): an idempotent job with a task that ends each backend server on which it starts was answered deadline_exceeded, since the task went on to the next server each time, up to 20 attempts and as far as the retry budget allowed.

Cause: the same class of fault as with workers: an outcome that may be the task's own doing counted only against a budget that all tasks of the entry share.

Change: a task is given up after two runs that were lost with their backend server or agent, and its job is answered outcome_unknown at once. Refusals and answered failures count as before. The count needs no store: a submission has one coordinating entry, and another one never starts its tasks again.

Test: test_task_that_ends_its_backend_servers_is_given_up[True-2] fails without the limit (the answer is deadline_exceeded).

--- a/persimmoncrank/bench/_world.py
+++ b/persimmoncrank/bench/_world.py
@@ -56,7 +56,8 @@
     """The behaviour of an agent and its backend server.
 
     ``hang_s`` is added to the run time of every task. ``refuses_connections`` makes the backend
-    server unreachable, so that no task starts.
+    server unreachable, so that no task starts. The tasks at ``crashing_indexes`` of a job end the
+    backend server, which is down for ``restart_s``.
     """
 
     slots: int = 8
@@ -64,6 +65,8 @@
     is_failing: bool = False
     refuses_connections: bool = False
     hang_s: float = 0.0
+    crashing_indexes: frozenset[int] = frozenset()
+    restart_s: float = 0.5
 
 
 @dataclass(kw_only=True)
@@ -198,8 +201,11 @@
     def _backend_port(
         self, info: AgentInfo, options: AgentOptions, process: Process
     ) -> Callable[[str, TaskSpec], Awaitable[Result[bytes, BackendFailure]]]:
+        down_until_s = 0.0
+
         async def run_task(submission_id: str, task: TaskSpec) -> Result[bytes, BackendFailure]:
-            if options.refuses_connections:
+            nonlocal down_until_s
+            if options.refuses_connections or anyio.current_time() < down_until_s:
                 return Err(BackendFailure(message="refused", may_have_run=False))
             self.history.starts.append(
                 TaskStart(
@@ -211,6 +217,9 @@
                     domain=info.domain,
                 )
             )
+            if task.index in options.crashing_indexes:
+                down_until_s = anyio.current_time() + options.restart_s
+                return Err(BackendFailure(message="connection closed", may_have_run=True))
             if options.is_failing:
                 return Err(BackendFailure(message="down", may_have_run=True, has_answered=True))
             await anyio.sleep(options.hang_s + self.work_ms_of(task) * options.slowness / 1000)
--- a/persimmoncrank/coordination/jobs/_job_run.py
+++ b/persimmoncrank/coordination/jobs/_job_run.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+from collections import Counter
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
@@ -59,6 +60,7 @@
 PLACEMENT_RETRY_INTERVAL_S = 0.05
 CANCEL_TIMEOUT_S = 0.5
 MAX_ATTEMPTS = 20
+MAX_LOST_RUNS = 2  # of a task whose backend server or agent was lost while it may have been running
 
 _BACKOFF_S = {
     RefusalReason.NOT_CURRENT: 0.3,
@@ -110,6 +112,7 @@
         self._sent: dict[int, _SentTask] = {}
         self._results: dict[int, TaskResult] = {}
         self._error: ServiceError | None = None
+        self._lost_runs: Counter[int] = Counter()
         self._may_have_started = False
         self._changed = anyio.Event()
         self._deadline_s = anyio.current_time() + spec.deadline_ms / 1000
@@ -258,12 +261,25 @@
         pending.clear()
         self._may_have_started = True
         for task in tasks:
-            if self._acquire_retry(task):
+            if not self._is_given_up(task) and self._acquire_retry(task):
                 self._retry_elsewhere(view, task)
             else:
                 message = f"task {task.spec.index} may have run: {cause}"
                 self._fail(ErrorKind.OUTCOME_UNKNOWN, message)
 
+    def _is_given_up(self, task: BatchTask) -> bool:
+        """Count a lost run of a task; return whether it may be what ends its backend servers."""
+        self._lost_runs[task.spec.index] += 1
+        if self._lost_runs[task.spec.index] < MAX_LOST_RUNS:
+            return False
+        log.warning(
+            "jobs: task given up submission=%s task=%d lost_runs=%d",
+            self._spec.submission_id,
+            task.spec.index,
+            self._lost_runs[task.spec.index],
+        )
+        return True
+
     def _acquire_retry(self, task: BatchTask) -> bool:
         """Return whether a task that may have run can be retried, and if so charge the budget."""
         if not self._spec.is_idempotent or task.attempt + 1 >= MAX_ATTEMPTS:
@@ -310,10 +326,11 @@
 
     def _handle_failure(self, view: AgentView, task: BatchTask, outcome: TaskOutcome) -> None:
         self._record_failure(view)
-        if self._acquire_retry(task):
+        is_unknown = outcome.state == OutcomeState.UNKNOWN
+        is_given_up = is_unknown and self._is_given_up(task)
+        if not is_given_up and self._acquire_retry(task):
             self._retry_elsewhere(view, task)
             return
-        is_unknown = outcome.state == OutcomeState.UNKNOWN
         kind = ErrorKind.OUTCOME_UNKNOWN if is_unknown else ErrorKind.TASK_FAILED
         cause = outcome.detail.decode(errors="replace") or "its result was dropped"
         self._fail(kind, f"task {outcome.index} at {view.info.backend}: {cause}")
--- a/persimmoncrank/tests/test_entry_node.py
+++ b/persimmoncrank/tests/test_entry_node.py
@@ -161,6 +161,29 @@
     run_virtual(main)
 
 
+@pytest.mark.parametrize(("is_idempotent", "max_starts"), [(True, 2), (False, 1)])
+def test_task_that_ends_its_backend_servers_is_given_up(
+    is_idempotent: bool, max_starts: int
+) -> None:
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            world = await start_world(group, seed=8)
+            for agent in world.agents.values():
+                agent.options.crashing_indexes = frozenset({3})
+            spec = make_job(await world.issue_id("e0"), tasks=12, is_idempotent=is_idempotent)
+            for entry in ("e0", "e1", "e0"):
+                answered = await world.submit(entry, spec)
+                assert answered.error is not None
+                assert answered.error.kind == ErrorKind.OUTCOME_UNKNOWN
+                assert not answered.error.not_run
+            starts = [start for start in world.history.starts if start.index == 3]
+            assert 1 <= len(starts) <= max_starts
+            check_all(world.history)
+            group.cancel_scope.cancel()
+
+    run_virtual(main)
+
+
 def test_status_shows_the_version_of_every_process() -> None:
     async def main() -> None:
         async with anyio.create_task_group() as group:
