Refuse jobs that would exhaust or confuse the entry that admits them

Callers saw (found by looking for the same cause): a job of one step with 10^9 tasks made the entry create all of them, beyond its memory limit; the caller's connection broke and it sent the job to the next entry, which ended the same way. A step after itself raised an IndexError, a negative demand freed capacity.

Cause: one request that ends each process that takes it, the class of fault of tasks that crash their workers; the own interface limits tasks a job, jobs for workers had no limit.

Change: before admission the steps are checked: one or more, 10,000 tasks at most, no negative number, only earlier steps in after. Others are refused as invalid, not run.

--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -27,6 +27,7 @@
     JobTask,
     TaskState,
     critical_path_length_s,
+    find_invalid_step,
 )
 from persimmoncrank.protocol import (
     EntryAddress,
@@ -191,6 +192,9 @@
 
     def _admission_error(self, job: WorkerJob) -> ServiceError | None:
         """Return why a job cannot be admitted, or None."""
+        invalid = find_invalid_step(job.steps)
+        if invalid is not None:
+            return refusal(ErrorKind.INVALID_REQUEST, f"job {job.job_id}: {invalid}")
         if self._leave_deadline_s is not None and not self._ends_before(
             job, self._leave_deadline_s
         ):
--- a/persimmoncrank/coordination/dispatch/_worker_jobs.py
+++ b/persimmoncrank/coordination/dispatch/_worker_jobs.py
@@ -12,6 +12,7 @@
 
 log = logging.getLogger(__name__)
 
+MAX_TASKS_PER_JOB = 10_000
 LATE_FACTOR = 3.0  # an answer later than three times the objective is useless to the caller
 
 
@@ -132,3 +133,22 @@
         before_s = max((ends[number] for number in step.after), default=0.0)
         ends.append(before_s + own_s)
     return max(ends, default=0.0)
+
+
+def find_invalid_step(steps: tuple[Step, ...]) -> str | None:
+    """Return why the steps of a job are not valid, or None if they are."""
+    if not steps:
+        return "a job must have at least one step"
+    task_count = 0
+    for number, step in enumerate(steps):
+        if step.count < 1:
+            return f"step {number} must have at least one task, but has {step.count}"
+        if not Demand().fits_in(step.demand) or step.estimate_s < 0 or step.max_per_worker < 0:
+            return f"step {number} has a negative number"
+        later = [other for other in step.after if not 0 <= other < number]
+        if later:
+            return f"step {number} is after step {later[0]}, which is not an earlier step"
+        task_count += step.count
+    if task_count > MAX_TASKS_PER_JOB:
+        return f"a job must have at most {MAX_TASKS_PER_JOB} tasks, but this one has {task_count}"
+    return None
--- a/persimmoncrank/tests/test_dispatcher.py
+++ b/persimmoncrank/tests/test_dispatcher.py
@@ -14,6 +14,7 @@
     EntryFrame,
     ErrorKind,
     QueueTable,
+    Step,
     TaskOrder,
     TaskRef,
 )
@@ -25,6 +26,9 @@
     from persimmoncrank.bench._worker_world import WorkerWorld
 
 
+STEP = make_worker_job("0" * 16).steps[0]
+
+
 @pytest.mark.parametrize(
     "cause", ["withdrawn", "too large", "no agent"], ids=lambda cause: cause.replace(" ", "-")
 )
@@ -51,6 +55,33 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize(
+    ("steps", "reason"),
+    [
+        ([], "at least one step"),
+        ([replace(STEP, count=0)], "step 0 must have at least one task, but has 0"),
+        ([replace(STEP, count=10**9)], "at most 10000 tasks"),
+        ([replace(STEP, count=6_000)] * 2, "this one has 12000"),
+        ([replace(STEP, demand=Demand(memory_mb=-1))], "negative"),
+        ([replace(STEP, after=(0,))], "step 0 is after step 0"),
+        ([STEP, replace(STEP, after=(-1,))], "step 1 is after step -1"),
+    ],
+)
+def test_job_that_would_exhaust_or_confuse_the_entry_is_refused(
+    steps: list[Step], reason: str
+) -> None:
+    async def scenario(world: WorkerWorld) -> None:
+        job = replace(make_worker_job("0" * 16), steps=tuple(steps))
+        answer = await world.submit("e0", job)
+        assert answer is not None
+        assert answer.error is not None
+        assert answer.error.kind is ErrorKind.INVALID_REQUEST
+        assert answer.error.not_run
+        assert reason in answer.error.message
+
+    run_scenario(scenario)
+
+
 def test_urgent_jobs_are_placed_first() -> None:
     async def scenario(world: WorkerWorld) -> None:
         world.run_s = lambda _task: 0.4
