Do not confirm crashes that an agent slept through

Callers saw: nothing yet; found by reading. An agent that was frozen for longer than its lease, and found another incarnation of its worker when it woke, reported its runs as certainly running at the crash.

Cause: the report did not compare the time of the crash with the lease.

Change: a run counts as confirmed only within the lease that was last asked for.

Test: test_crash_that_an_agent_slept_through_is_not_confirmed[frozen] fails without the comparison.

--- a/persimmoncrank/coordination/execution/_worker_runner.py
+++ b/persimmoncrank/coordination/execution/_worker_runner.py
@@ -219,6 +219,7 @@
     def _report_crash(self, active: list[Run], crashed_at_s: float) -> None:
         """Report the runs that were or may have been active when the worker crashed."""
         recent_s = crashed_at_s - RECENT_START_S
+        is_in_lease = crashed_at_s <= self._lease_extended_at_s + self._lease_s
 
         def crashed_run(run: Run, *, is_confirmed: bool) -> CrashedRun:
             return CrashedRun(
@@ -229,7 +230,7 @@
             )
 
         crashed = (
-            *(crashed_run(run, is_confirmed=run.is_confirmed) for run in active),
+            *(crashed_run(run, is_confirmed=run.is_confirmed and is_in_lease) for run in active),
             *(crashed_run(run, is_confirmed=False) for run in self._unexplained_runs),
         )
         if crashed:
--- a/persimmoncrank/tests/test_worker_runner.py
+++ b/persimmoncrank/tests/test_worker_runner.py
@@ -325,6 +325,22 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("frozen_s", [0.0, 3.0], ids=["running", "frozen"])
+def test_crash_that_an_agent_slept_through_is_not_confirmed(frozen_s: float) -> None:
+    """While the agent was frozen, the lease may have expired before the worker crashed."""
+
+    async def scenario(group: TaskGroup) -> None:
+        harness = Harness(run_s=30.0)
+        runner = await harness.start(group)
+        runner.submit(make_run(1))
+        await anyio.sleep(0.2)
+        runner._lease_extended_at_s -= frozen_s
+        runner.terminate("the worker answered as another incarnation")
+        assert [run.is_confirmed for run in harness.crashed_runs] == [not frozen_s]
+
+    run_scenario(scenario)
+
+
 def test_runs_of_an_unresponsive_worker_are_lost_when_its_lease_expires() -> None:
     async def scenario(group: TaskGroup) -> None:
         harness = Harness(run_s=30.0)
