Count crashes and trials, and show the confinement in metrics and its log line

An operator could not see from the metrics how many workers crash under tasks, or that a kind of task is confined. The line "kind confined" now also gives the crashes, their share and the proof that decided.

--- a/persimmoncrank/coordination/dispatch/_containment.py
+++ b/persimmoncrank/coordination/dispatch/_containment.py
@@ -63,10 +63,14 @@
             blamed = None
         if _name(blamed) != _name(self.confined):
             log.warning(
-                "placement: kind confined kind=%s before=%s agents=%d",
+                "placement: kind confined kind=%s before=%s agents=%d crashes=%d share=%.2f"
+                " proven=%s",
                 _name(blamed),
                 _name(self.confined),
                 len(agents),
+                blamed.crashes if blamed else 0,
+                blamed.share if blamed else 0.0,
+                blamed.has_proven_task if blamed else False,
             )
         elif agents == self._known_agents:
             return
--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -380,6 +380,7 @@
         )
         if is_trial:
             self.containment.start_trial(order.order_id, now_s=now_s)
+            self.counters.trials += 1
         task.state = TaskState.ORDERED
         task.order_id = order.order_id
         open_order = OpenOrder(task=task, order=order, is_probe=is_probe)
--- a/persimmoncrank/state/_counters.py
+++ b/persimmoncrank/state/_counters.py
@@ -15,9 +15,10 @@
 
     Failed and refused jobs are counted by error kind, refused tasks by the agent's reason. An
     entry that dispatches to workers counts in ``tasks_refused`` all orders that were not done, by
-    outcome.
+    outcome. ``trials`` counts orders of tasks that may have crashed a worker.
     """
 
+    trials: int = 0
     jobs_admitted: int = 0
     jobs_complete: int = 0
     jobs_failed: Counter[str] = field(default_factory=Counter)
--- a/persimmoncrank/state/_crash_history.py
+++ b/persimmoncrank/state/_crash_history.py
@@ -63,6 +63,10 @@
     _by_task: dict[TaskRef, dict[CrashKey, CrashedRun]] = field(default_factory=dict)
     _by_job: dict[str, set[TaskRef]] = field(default_factory=dict)
 
+    def __len__(self) -> int:
+        """Return the number of crashes that are kept."""
+        return len(self._crashes)
+
     def record(self, crash: WorkerCrash, *, now_s: float) -> WorkerCrash | None:
         """Record a crash; return all that is known of it, or None if nothing was new."""
         key = (crash.worker, crash.incarnation)
--- a/persimmoncrank/transport/_metrics.py
+++ b/persimmoncrank/transport/_metrics.py
@@ -152,6 +152,10 @@
         metrics.set_gauge("jobs_running", "Jobs running now", len(dispatcher.jobs))
         metrics.set_gauge("tasks_pending", "Tasks waiting for room", len(dispatcher.pending))
         metrics.set_gauge("config_version", "Version held", dispatcher.config_version)
+        metrics.set_counter("trials_total", "Trials of suspect tasks", counters.trials)
+        metrics.set_gauge("crashes_known", "Recent worker crashes", len(dispatcher.crashes))
+        is_confined = dispatcher.containment.confined is not None
+        metrics.set_gauge("kind_is_confined", "1 while a kind is confined", int(is_confined))
         connected = sum(link.is_connected for link in dispatcher.links.values())
         metrics.set_gauge("agents_connected", "Agents with a stream", connected)
 
@@ -166,6 +170,11 @@
         metrics.set_labeled_counters(
             "tasks_ended_total", "Orders ended", "outcome", agent.counters.tasks_ended
         )
+        metrics.set_counter(
+            "worker_crashes_total",
+            "Crashes of the worker while tasks ran",
+            agent.counters.worker_crashes,
+        )
         waits, runs = agent.wait_times, agent.run_times
         metrics.set_histogram(
             "task_wait_seconds", "Time from order to start", waits.cumulative(), waits.sum_s
@@ -178,6 +187,8 @@
             metrics.set_gauge("tasks_running", "Runs on the worker", len(runner.ledger.active))
             metrics.set_gauge("tasks_queued", "Orders that wait", len(runner.ledger.queued))
             metrics.set_gauge("worker_slowness", "Time relative to speed 1", runner.health.slowness)
+            capacity = runner.ledger.capacity.cpu_millis
+            metrics.set_gauge("worker_cpu_millis", "Capacity last announced", capacity)
         metrics.set_gauge("config_version", "Version held", agent.config_version)
         metrics.set_gauge("entries_known", "Entries with a session", len(agent.links.sessions))
 
