--- a/persimmoncrank/tests/test_crash_histories.py
+++ b/persimmoncrank/tests/test_crash_histories.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import random
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import anyio
@@ -14,6 +15,7 @@
 
 from persimmoncrank.bench._network import run_virtual
 from persimmoncrank.bench._worker_world import WorkerWorld, make_worker_job
+from persimmoncrank.state import CrashHistory, CrashVerdict
 from persimmoncrank.tests import test_worker_histories as histories
 from persimmoncrank.tests.test_crashing_tasks import is_called_the_cause
 from persimmoncrank.tests.worker_invariants import MIN_CRASHES, check_all, crashes_by_task
@@ -141,3 +143,33 @@
 @pytest.mark.parametrize("seed", range(6))
 def test_crashing_tasks_are_given_up_under_any_faults(seed: int) -> None:
     assert run_virtual(lambda: run_crash_history(seed), seed=seed) > 0
+
+
+def never_give_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Place tasks again however many workers have crashed under them."""
+    monkeypatch.setattr(CrashHistory, "verdict", lambda *_args: CrashVerdict.CLEAR)
+
+
+def give_up_at_the_first_crash(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Show a job as failed when one worker has crashed under one of its tasks."""
+
+    def verdict(history: CrashHistory, task: TaskRef) -> CrashVerdict:
+        return CrashVerdict.GIVEN_UP if history.crash_count(task) else CrashVerdict.CLEAR
+
+    monkeypatch.setattr(CrashHistory, "verdict", verdict)
+    monkeypatch.setattr(CrashHistory, "is_proven", lambda *_args: True)
+
+
+@pytest.mark.parametrize("mutate", [never_give_up, give_up_at_the_first_crash])
+def test_crash_histories_detect_mutation(
+    monkeypatch: pytest.MonkeyPatch, mutate: Callable[[pytest.MonkeyPatch], None]
+) -> None:
+    mutate(monkeypatch)
+
+    def run_all_seeds() -> None:
+        for seed in range(3):
+            run_virtual(partial(run_crash_history, seed), seed=seed)
+
+    with pytest.raises(BaseExceptionGroup) as caught:
+        run_all_seeds()
+    assert caught.group_contains(AssertionError)
--- a/persimmoncrank/tests/test_worker_mutations.py
+++ b/persimmoncrank/tests/test_worker_mutations.py
@@ -26,7 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from persimmoncrank.protocol import EntryFrame
+    from persimmoncrank.protocol import EntryFrame, WorkerHeartbeat
 
 MAX_SEEDS = 3
 MAX_RUN_TIME_S = 3.0
@@ -91,7 +91,17 @@
     monkeypatch.setattr(EntryLinks, "has_lease", lambda *_args: True)
 
 
+def ignore_shrunk_capacity(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Keep to the capacity of the first heartbeat of a worker's incarnation."""
+
+    def update_worker(runner: WorkerRunner, heartbeat: WorkerHeartbeat) -> None:
+        runner.worker = heartbeat
+
+    monkeypatch.setattr(WorkerRunner, "update_worker", update_worker)
+
+
 CASES = [
+    (ignore_shrunk_capacity, histories.shrink_worker),
     (skip_eligibility_checks, histories.withdraw_domain),
     (skip_eligibility_checks, histories.drain_worker),
     (keep_runs_of_cancelled_jobs, histories.cancel_jobs),
