Serve callers while the stored crashes cannot be read

Cause: an entry read the stored crashes before anything else, five times 0.2 s apart, although it could read its configuration at once.

Change: the first read has 0.1 s; then the entry serves, and the read is repeated until it succeeds. The crashes that it finds then count for running jobs too.

Why it works: crashes are also told by the agents that still run, and the limit on starts leaves room for crashes that are not known.

Tests: test_entry_serves_while_the_stored_crashes_cannot_be_read (the code before was ready after 1.0 s, the test allows 0.2 s), test_running_job_fails_when_its_stored_crashes_are_read_late.

--- a/persimmoncrank/bench/_worker_world.py
+++ b/persimmoncrank/bench/_worker_world.py
@@ -280,14 +280,14 @@
                 async with anyio.create_task_group() as group, new_crashes:
                     self.network.groups[name] = group
                     self.network.serve[name] = dispatcher.streams.serve
-                    await load_crashes(
-                        table=table,
-                        record=lambda crash: dispatcher.crashes.record(
-                            crash, now_s=anyio.current_time()
-                        ),
-                        unix_time=anyio.current_time,
+                    group.start_soon(
+                        lambda: load_crashes(
+                            table=table,
+                            record=dispatcher.record_crash,
+                            unix_time=anyio.current_time,
+                            on_ready=lambda: self._configure(dispatcher),
+                        )
                     )
-                    self._configure(dispatcher)
                     group.start_soon(
                         lambda: store_crashes(
                             table=table, crashes=new_crashes, unix_time=anyio.current_time
--- a/persimmoncrank/commands/dispatch.py
+++ b/persimmoncrank/commands/dispatch.py
@@ -148,13 +148,19 @@
     async def follow_entries() -> None:
         await follow_directory(table=store.table, on_entries=set_entries)
 
-    async def follow_config() -> None:
-        # No job is admitted before there is a configuration, so none misses a stored crash.
+    crashes_read = anyio.Event()
+
+    async def read_crashes() -> None:
         await load_crashes(
             table=store.table,
-            record=lambda crash: dispatcher.crashes.record(crash, now_s=anyio.current_time()),
+            record=dispatcher.record_crash,
             unix_time=time.time,
+            on_ready=crashes_read.set,
         )
+
+    async def follow_config() -> None:
+        # No job is admitted before there is a configuration.
+        await crashes_read.wait()
         await follower.run()
 
     async def store_new_crashes() -> None:
@@ -178,7 +184,14 @@
         anyio.create_task_group() as group,
     ):
         log.info("entry: serving entry=%s lease_ms=%d", entry.incarnation, lease_s * 1000)
-        for task in (dispatcher.run, follow_config, store_new_crashes, register, follow_entries):
+        for task in (
+            dispatcher.run,
+            read_crashes,
+            follow_config,
+            store_new_crashes,
+            register,
+            follow_entries,
+        ):
             group.start_soon(task)
         await stop.wait()
         await _drain(dispatcher, settings.grace_s, front.count_connections)
--- a/persimmoncrank/coordination/dispatch/_crash_store.py
+++ b/persimmoncrank/coordination/dispatch/_crash_store.py
@@ -7,12 +7,13 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections import deque
 from typing import TYPE_CHECKING
 
 import anyio
 import msgspec
-from result import Err, Ok
+from result import Err, Ok, Result
 
 from persimmoncrank.protocol import (
     Transaction,
@@ -28,13 +29,14 @@
 
     from anyio.streams.memory import MemoryObjectReceiveStream
 
-    from persimmoncrank.protocol import Row, TableService
+    from persimmoncrank.protocol import Row, Rows, StoreError, TableService
 
 log = logging.getLogger(__name__)
 
 CRASH_TABLE = "crashes"
 RETRY_INTERVAL_S = 0.2
-LOAD_ATTEMPTS = 5  # then an entry starts without the records rather than not at all
+FIRST_READ_TIMEOUT_S = 0.1  # then an entry serves callers without the stored crashes
+READ_RETRY_INTERVAL_S = 0.5
 CLEANUP_INTERVAL_S = 10.0
 MAX_DELETES = 50
 
@@ -51,17 +53,28 @@
     table: TableService,
     record: Callable[[WorkerCrash], object],
     unix_time: Callable[[], float],
+    on_ready: Callable[[], None],
 ) -> None:
-    """Read the stored crashes once and record those that are recent."""
-    for _ in range(LOAD_ATTEMPTS):
-        match await table.scan(f"{CRASH_TABLE}/", 0):
-            case Ok(found):
-                await _record_rows(found.rows, table, record, unix_time())
-                return
-            case Err(error):
-                log.info("entry: reading the crashes failed cause=%s", error.message)
-                await anyio.sleep(RETRY_INTERVAL_S)
-    log.warning("entry: crashes not read from the store attempts=%d", LOAD_ATTEMPTS)
+    """Read the stored crashes and record those that are recent, then call ``on_ready``.
+
+    If the store does not answer at once, ``on_ready`` is called without them, and the read is
+    repeated until it succeeds.
+    """
+    is_ready = False
+    while True:
+        answer: Result[Rows, StoreError] | None = None
+        with anyio.move_on_after(math.inf if is_ready else FIRST_READ_TIMEOUT_S):
+            answer = await table.scan(f"{CRASH_TABLE}/", 0)
+        if answer is not None and answer.is_ok():
+            await _record_rows(answer.unwrap().rows, table, record, unix_time())
+        if not is_ready:
+            on_ready()
+            is_ready = True
+        if answer is not None and answer.is_ok():
+            return
+        cause = answer.unwrap_err().message if answer is not None else "no answer in time"
+        log.warning("entry: crashes not read from the store cause=%s", cause)
+        await anyio.sleep(READ_RETRY_INTERVAL_S)
 
 
 async def _record_rows(
--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -450,9 +450,8 @@
     # Crashes of workers.
 
     def _handle_crash(self, crash: WorkerCrash, link: AgentLink) -> None:
-        """Record a crash, and fail the jobs with a task under which too many workers crashed."""
-        now_s = anyio.current_time()
-        known = self.crashes.record(crash, now_s=now_s)
+        """Record a crash that an agent reported, and store it if the agent is assigned here."""
+        known = self.record_crash(crash)
         if known is None:
             return
         if link.is_assigned:
@@ -464,12 +463,22 @@
             crash.incarnation,
             len(crash.runs),
         )
+
+    def record_crash(self, crash: WorkerCrash) -> WorkerCrash | None:
+        """Record a crash, and fail the jobs with a task under which too many workers crashed.
+
+        Returns all that is known of the crash, or None if nothing was new.
+        """
+        known = self.crashes.record(crash, now_s=anyio.current_time())
+        if known is None:
+            return None
         for job_id in {run.ref.job_id for run in crash.runs}:
             run = self.jobs.get(job_id)
             answer = self._crash_answer(job_id)
             if run is not None and answer is not None:
                 run.may_have_started = True
                 self._finish(run, answer)
+        return known
 
     def _crash_answer(self, job_id: str) -> WorkerJobAnswer | None:
         """Return the answer of a job whose tasks are not tried again, or None.
--- a/persimmoncrank/tests/test_crash_store.py
+++ b/persimmoncrank/tests/test_crash_store.py
@@ -7,7 +7,15 @@
 
 from persimmoncrank.bench._network import run_virtual
 from persimmoncrank.coordination.dispatch import load_crashes, store_crashes
-from persimmoncrank.protocol import CrashedRun, TaskRef, Transaction, WorkerCrash, Write
+from persimmoncrank.coordination.dispatch._crash_store import _StoredCrash
+from persimmoncrank.protocol import (
+    CrashedRun,
+    TaskRef,
+    Transaction,
+    WorkerCrash,
+    Write,
+    encode_message,
+)
 from persimmoncrank.standin import MemoryPlatform
 from persimmoncrank.state import CRASH_RETENTION_S
 
@@ -18,7 +26,12 @@
 async def load(platform: MemoryPlatform) -> list[WorkerCrash]:
     """Return the crashes that an entry reads when it starts."""
     crashes: list[WorkerCrash] = []
-    await load_crashes(table=platform.table(), record=crashes.append, unix_time=anyio.current_time)
+    await load_crashes(
+        table=platform.table(),
+        record=crashes.append,
+        unix_time=anyio.current_time,
+        on_ready=lambda: None,
+    )
     return crashes
 
 
@@ -66,3 +79,35 @@
         assert "crashes/other" in platform._rows
 
     run_virtual(main)
+
+
+@pytest.mark.parametrize("outage_s", [0.0, 3.0], ids=["store up", "store down"])
+def test_entry_serves_while_the_stored_crashes_cannot_be_read(outage_s: float) -> None:
+    """After a restart of all processes in an outage of the store, callers must not wait for it."""
+
+    async def main() -> None:
+        platform = MemoryPlatform()
+        value = encode_message(_StoredCrash(crash=CRASH, at_unix_s=0.0))
+        write = Write(key="crashes/w.7", value=value, expected_version=None)
+        await platform.transact(Transaction(writes=(write,)))
+        platform.faults.is_down = outage_s > 0.0
+        crashes: list[WorkerCrash] = []
+        ready = anyio.Event()
+        async with anyio.create_task_group() as group:
+            group.start_soon(
+                lambda: load_crashes(
+                    table=platform.table(),
+                    record=crashes.append,
+                    unix_time=anyio.current_time,
+                    on_ready=ready.set,
+                )
+            )
+            with anyio.fail_after(0.2):
+                await ready.wait()
+            assert len(crashes) == (0 if outage_s else 1)
+            await anyio.sleep(outage_s)
+            platform.faults.is_down = False
+            await anyio.sleep(1.0)
+            assert len(crashes) == 1
+
+    run_virtual(main)
--- a/persimmoncrank/tests/test_crashing_tasks.py
+++ b/persimmoncrank/tests/test_crashing_tasks.py
@@ -175,6 +175,33 @@
     run_virtual(main, seed=seed)
 
 
+def test_running_job_fails_when_its_stored_crashes_are_read_late() -> None:
+    async def main() -> WorkerJobAnswer | None:
+        answers: list[WorkerJobAnswer | None] = []
+        async with anyio.create_task_group() as group:
+            world = WorkerWorld(group=group, run_s=lambda _task: 5.0)
+            await world.start(entries=1, agents=2)
+
+            async def submit() -> None:
+                job = make_worker_job(JOB_ID, tasks=2, estimate_s=5.0)
+                answers.append(await world.submit("e0", job))
+
+            group.start_soon(submit)
+            await anyio.sleep(0.5)
+            for worker in ("w1", "w2"):
+                run = CrashedRun(ref=CRASHING_TASK, kind="q", is_recent=True, is_confirmed=True)
+                crash = WorkerCrash(worker=worker, incarnation=1, runs=(run,))
+                world.dispatcher("e0").record_crash(crash)
+            await anyio.sleep(0.1)
+            check_all(world)
+            group.cancel_scope.cancel()
+        return answers[0]
+
+    answer = run_virtual(main)
+    assert answer is not None
+    assert is_called_the_cause(answer)
+
+
 def test_job_whose_workers_crash_after_its_runs_expired_is_not_shown_as_failed() -> None:
     """A worker that is cut off ends its runs when its lease expires, and may crash later."""
 
