--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -15,6 +15,7 @@
     choose_confined,
     choose_for_trial,
 )
+from persimmoncrank.coordination.dispatch._crash_answers import crash_answer, untried_cause
 from persimmoncrank.coordination.dispatch._worker_choice import (
     ChooseWorker,
     choose_worker,
@@ -44,7 +45,6 @@
 )
 from persimmoncrank.state import (
     CrashHistory,
-    CrashVerdict,
     DurationEstimator,
     EntryCounters,
     LatencyHistogram,
@@ -163,7 +163,7 @@
         """
         run = self.jobs.get(job.job_id)
         if run is None:
-            answer = self._crash_answer(job.job_id)
+            answer = crash_answer(self.crashes, job.job_id)
             if answer is not None:
                 return self._answer_on_arrival(job, answer)
             error = self._admission_error(job)
@@ -474,38 +474,12 @@
             return None
         for job_id in {run.ref.job_id for run in crash.runs}:
             run = self.jobs.get(job_id)
-            answer = self._crash_answer(job_id)
+            answer = crash_answer(self.crashes, job_id)
             if run is not None and answer is not None:
                 run.may_have_started = True
                 self._finish(run, answer)
         return known
 
-    def _crash_answer(self, job_id: str) -> WorkerJobAnswer | None:
-        """Return the answer of a job whose tasks are not tried again, or None.
-
-        The job has failed only if the crashes are certain to have happened under one of its tasks.
-        """
-        given_up = self.crashes.tasks_of(job_id, CrashVerdict.GIVEN_UP)
-        if not given_up:
-            return None
-        ref = max(given_up, key=self.crashes.is_proven)
-        cause = f"{self.crashes.crash_count(ref)} workers crashed under task {_name(ref)}"
-        if self.crashes.is_proven(ref):
-            return WorkerJobAnswer(cause=cause)
-        message = f"{cause}, or just before it started"
-        return WorkerJobAnswer(error=ServiceError(kind=ErrorKind.OUTCOME_UNKNOWN, message=message))
-
-    def _untried_cause(self, run: JobRun) -> str | None:
-        """Return why a job with a pending suspect task is failed, or None if it has none."""
-        suspects = self.crashes.tasks_of(run.job.job_id, CrashVerdict.SUSPECT)
-        pending = {task.ref for task in run.tasks if task.state is TaskState.PENDING}
-        for ref in suspects:
-            if ref in pending:
-                return (
-                    f"a worker crashed under task {_name(ref)}, which was not tried again in time"
-                )
-        return None
-
     def _handle_task_done(self, task: JobTask) -> None:
         task.state = TaskState.DONE
         run = task.job
@@ -536,7 +510,7 @@
         waits for the trial of a task fails once that would end too late.
         """
         if now_s >= run.useful_until_s - run.critical_path_s:
-            cause = self._untried_cause(run)
+            cause = untried_cause(self.crashes, run)
             if cause is not None:
                 self._abort(run, cause)
                 return
@@ -583,10 +557,6 @@
         )
 
 
-def _name(task: TaskRef) -> str:
-    return f"{task.step}.{task.index}"
-
-
 def _is_selective(task: JobTask) -> bool:
     """Return whether only some workers may run a task, or run it in time."""
     return bool(task.step.label or task.step.rack or task.step.max_per_worker)
--- a/persimmoncrank/coordination/execution/_worker_agent.py
+++ b/persimmoncrank/coordination/execution/_worker_agent.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
+import msgspec
 
 from persimmoncrank.coordination.execution._entry_links import EntryLinks
 from persimmoncrank.coordination.execution._worker_runner import RunnerCallbacks, WorkerRunner
@@ -400,17 +401,27 @@
         )
 
     def _report(self, session: EntrySession) -> WorkerReport | None:
-        runner, heartbeat = self.runner, self._last_heartbeat
+        heartbeat = self._last_heartbeat
         if heartbeat is None:
             return None
-        if runner is None:
-            return self._report_of_absent_worker(heartbeat, session)
-        return WorkerReport(
+        absent = WorkerReport(
             worker=heartbeat.worker,
             worker_incarnation=heartbeat.incarnation,
             service=heartbeat.service,
             labels=heartbeat.labels,
             capacity=heartbeat.capacity,
+            free=Demand(),
+            slowness=1.0,
+            is_accepting=False,
+            is_suspect=False,
+            queued=0,
+            orders_seen=session.orders_seen,
+        )
+        runner = self.runner
+        if runner is None:
+            return absent
+        return msgspec.structs.replace(
+            absent,
             free=runner.free,
             slowness=round(runner.health.slowness, REPORTED_SLOWNESS_DIGITS),
             is_accepting=self._is_accepting()
@@ -418,24 +429,6 @@
             and not runner.ledger.unknown_runs,
             is_suspect=runner.health.is_suspect,
             queued=len(runner.ledger.queued),
-            orders_seen=session.orders_seen,
-        )
-
-    @staticmethod
-    def _report_of_absent_worker(heartbeat: WorkerHeartbeat, session: EntrySession) -> WorkerReport:
-        """Return the report of a worker that has ended; it accepts nothing."""
-        return WorkerReport(
-            worker=heartbeat.worker,
-            worker_incarnation=heartbeat.incarnation,
-            service=heartbeat.service,
-            labels=heartbeat.labels,
-            capacity=heartbeat.capacity,
-            free=Demand(),
-            slowness=1.0,
-            is_accepting=False,
-            is_suspect=False,
-            queued=0,
-            orders_seen=session.orders_seen,
         )
 
 
