Split the read of the stored crashes into reading, recording and deleting

Expired rows are now deleted after the entry has begun to serve, not before; else behaviour as before. The tests of crashes and the adapter pass.

--- a/persimmoncrank/coordination/dispatch/_crash_store.py
+++ b/persimmoncrank/coordination/dispatch/_crash_store.py
@@ -13,7 +13,7 @@
 
 import anyio
 import msgspec
-from result import Err, Ok, Result
+from result import Err, Ok
 
 from persimmoncrank.protocol import (
     Transaction,
@@ -29,7 +29,7 @@
 
     from anyio.streams.memory import MemoryObjectReceiveStream
 
-    from persimmoncrank.protocol import Row, Rows, StoreError, TableService
+    from persimmoncrank.protocol import Row, TableService
 
 log = logging.getLogger(__name__)
 
@@ -60,30 +60,34 @@
     If the store does not answer at once, ``on_ready`` is called without them, and the read is
     repeated until it succeeds.
     """
-    is_ready = False
-    while True:
-        answer: Result[Rows, StoreError] | None = None
-        with anyio.move_on_after(math.inf if is_ready else FIRST_READ_TIMEOUT_S):
-            answer = await table.scan(f"{CRASH_TABLE}/", 0)
-        if answer is not None and answer.is_ok():
-            await _record_rows(answer.unwrap().rows, table, record, unix_time())
-        if not is_ready:
-            on_ready()
-            is_ready = True
-        if answer is not None and answer.is_ok():
-            return
-        cause = answer.unwrap_err().message if answer is not None else "no answer in time"
-        log.warning("entry: crashes not read from the store cause=%s", cause)
+    rows = await _read_rows(table, timeout_s=FIRST_READ_TIMEOUT_S)
+    expired = _record_rows(rows or (), record, unix_time())
+    on_ready()
+    while rows is None:
         await anyio.sleep(READ_RETRY_INTERVAL_S)
+        rows = await _read_rows(table, timeout_s=math.inf)
+        expired = _record_rows(rows or (), record, unix_time())
+    for first in range(0, len(expired), MAX_DELETES):
+        await _delete(table, expired[first : first + MAX_DELETES])
 
 
-async def _record_rows(
-    rows: Iterable[Row],
-    table: TableService,
-    record: Callable[[WorkerCrash], object],
-    now_unix_s: float,
-) -> None:
-    """Record the recent crashes, and delete the expired ones that their writers left behind."""
+async def _read_rows(table: TableService, *, timeout_s: float) -> tuple[Row, ...] | None:
+    """Return the stored crashes, or None if the store does not answer in time."""
+    cause = "no answer in time"
+    with anyio.move_on_after(timeout_s):
+        match await table.scan(f"{CRASH_TABLE}/", 0):
+            case Ok(found):
+                return found.rows
+            case Err(error):
+                cause = error.message
+    log.warning("entry: crashes not read from the store cause=%s", cause)
+    return None
+
+
+def _record_rows(
+    rows: tuple[Row, ...], record: Callable[[WorkerCrash], object], now_unix_s: float
+) -> list[str]:
+    """Record the recent crashes; return the keys of expired ones that their writers left behind."""
     expired: list[str] = []
     recent = 0
     for row in rows:
@@ -96,9 +100,9 @@
         else:
             record(msgspec.structs.replace(stored.crash, age_s=age_s))
             recent += 1
-    log.info("entry: crashes read from the store recent=%d expired=%d", recent, len(expired))
-    for first in range(0, len(expired), MAX_DELETES):
-        await _delete(table, expired[first : first + MAX_DELETES])
+    if rows:
+        log.info("entry: crashes read from the store recent=%d expired=%d", recent, len(expired))
+    return expired
 
 
 def _decode(row: Row) -> _StoredCrash | None:
