Count the run that ends a worker just after a connection to it broke

Callers saw: nothing yet; found by reading. If one call to a worker failed for another reason, for example a reset connection, and a task started then and crashed the worker, its run was reported as not started: the crash did not count for the task, and its job could be refused as not run although it had.

Cause: all starts sent after the first failed call were taken as sent to a worker that was down already.

Change: only starts that are still on their way are. A start that was answered, or whose connection broke, may have run, and counts for the crash.

Test: test_crash_just_after_a_broken_connection_counts_for_the_run_that_caused_it fails in both cases without the change.

--- a/persimmoncrank/coordination/execution/_worker_runner.py
+++ b/persimmoncrank/coordination/execution/_worker_runner.py
@@ -159,8 +159,8 @@
     ) -> None:
         """End all runs, since this incarnation of the worker no longer exists.
 
-        Unless the worker was draining or its end was planned, it has crashed. Starts that were sent
-        when the worker was already down have had no effect.
+        Unless the worker was draining or its end was planned, it has crashed. Starts that are still
+        being sent to a worker that is down have had no effect.
         """
         if self.is_terminated:
             return
@@ -168,7 +168,7 @@
         has_crashed = not (is_planned or self.worker.is_draining)
         active = list(self.ledger.active.values())
         if down_since_s is not None:
-            for run in [run for run in active if run.ordered_at_s > down_since_s]:
+            for run in [run for run in active if _is_sent_after(run, down_since_s)]:
                 active.remove(run)
                 self._end_run(run, OrderOutcome.NOT_STARTED, cause)
         log.warning(
@@ -577,6 +577,15 @@
         return min(max(first_deadline_s - self._now(), MIN_CHECK_INTERVAL_S), CHECK_INTERVAL_S)
 
 
+def _is_sent_after(run: Run, down_since_s: float) -> bool:
+    """Return whether a start is still on its way to a worker that was down before.
+
+    A start that was answered, or whose connection broke, may have been what ended the worker: the
+    failure before it may have been that of a single connection.
+    """
+    return run.ordered_at_s > down_since_s and run.state is RunState.ORDERED
+
+
 def _log_args(run: Run) -> tuple[str, int, int, int]:
     ref = run.order.ref
     return (ref.job_id, ref.step, ref.index, run.number)
--- a/persimmoncrank/tests/test_worker_runner.py
+++ b/persimmoncrank/tests/test_worker_runner.py
@@ -8,6 +8,7 @@
 
 import anyio
 import pytest
+from result import Err, Result
 
 from persimmoncrank.bench._network import run_virtual
 from persimmoncrank.coordination.execution import RunnerCallbacks, WorkerRunner
@@ -15,8 +16,14 @@
     CrashedRun,
     Demand,
     OrderOutcome,
+    Renewal,
+    RunList,
+    StartReply,
+    StartRun,
     TaskOrder,
     TaskRef,
+    WorkerFault,
+    WorkerFaultKind,
     WorkerPort,
 )
 from persimmoncrank.standin import WorkerStandin
@@ -325,6 +332,45 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("is_answered", [True, False], ids=["start answered", "answer lost"])
+def test_crash_just_after_a_broken_connection_counts_for_the_run_that_caused_it(
+    is_answered: bool,
+) -> None:
+    """The list request fails once while the worker runs on; then a new run ends the worker."""
+
+    async def scenario(group: TaskGroup) -> None:
+        harness = Harness(run_s=30.0)
+        failures = [0]
+
+        def fail_lists(port: WorkerPort) -> WorkerPort:
+            async def renew(renewal: Renewal) -> Result[RunList, WorkerFault]:
+                if failures[0]:
+                    failures[0] -= 1
+                    fault = WorkerFault(kind=WorkerFaultKind.NO_ANSWER, message="reset")
+                    return Err(fault)
+                return await port.renew(renewal)
+
+            async def start(order: StartRun) -> Result[StartReply, WorkerFault]:
+                answer = await port.start(order)
+                if is_answered:
+                    return answer
+                return Err(WorkerFault(kind=WorkerFaultKind.NO_ANSWER, message="reset"))
+
+            return WorkerPort(start=start, stop=port.stop, renew=renew)
+
+        runner = await harness.start(group, fail_lists)
+        await anyio.sleep(0.2)
+        failures[0] = 2
+        await anyio.sleep(0.16)
+        harness.worker.crashes_after_s = lambda _task: 0.005
+        runner.submit(make_run(1))
+        await anyio.sleep(0.1)
+        assert harness.ends == [(1, OrderOutcome.CRASHED)]
+        assert [run.is_confirmed for run in harness.crashed_runs] == [is_answered]
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("frozen_s", [0.0, 3.0], ids=["running", "frozen"])
 def test_crash_that_an_agent_slept_through_is_not_confirmed(frozen_s: float) -> None:
     """While the agent was frozen, the lease may have expired before the worker crashed."""
