Never let the copy of a table go back, whichever answer arrives last

What callers could see: a withdrawn failure domain that comes back, or a configuration that is older than one already served, until the next change. Causes, found by reading: an answer of the feed in which a row is removed and written again lost the row (removals were applied last); a read of several pages continued at the version of its last page, so a change of an earlier page between the two was missed; a read that is behind replaced newer rows, and only the dispatcher's own check hid it. Rows, removals and whole copies now carry versions, and a copy of a table takes over only what is newer than itself.

--- a/persimmoncrank/commands/dispatch.py
+++ b/persimmoncrank/commands/dispatch.py
@@ -38,6 +38,7 @@
     WorkerHeartbeat,
     WorkerPort,
 )
+from persimmoncrank.state import TableReplica
 from persimmoncrank.transport import metrics_app, serve_http, serve_streams, stream_dialer
 
 if TYPE_CHECKING:
@@ -133,11 +134,8 @@
         remote_data_factor=settings.remote_data_factor,
         on_new_crash=queue_crash,
     )
-    follower = TableFollower(
-        table=store.operator_table,
-        feed=store.feed,
-        on_change=_config_setter(dispatcher, store),
-    )
+    replica = TableReplica(on_change=_config_setter(dispatcher, store))
+    follower = TableFollower(table=store.operator_table, feed=store.feed, replica=replica)
 
     def set_entries(entries: tuple[EntryAddress, ...]) -> None:
         dispatcher.streams.set_entries((*entries, entry))
--- a/persimmoncrank/coordination/configuration/_table_follower.py
+++ b/persimmoncrank/coordination/configuration/_table_follower.py
@@ -11,9 +11,8 @@
 from persimmoncrank.protocol import StoreErrorKind
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
-
-    from persimmoncrank.protocol import RowChanges, TableFeed
+    from persimmoncrank.protocol import RowChanges, StoreError, TableFeed
+    from persimmoncrank.state import TableReplica
 
 log = logging.getLogger(__name__)
 
@@ -23,68 +22,76 @@
 
 
 class TableFollower:
-    """Maintains a copy of a table.
-
-    ``on_change`` receives all rows by key and the store's version.
-    """
+    """Keeps a copy of a table up to date from the store."""
 
     def __init__(
         self,
         *,
         table: str,
         feed: TableFeed,
-        on_change: Callable[[Mapping[str, bytes], int], None],
+        replica: TableReplica,
         watch_timeout_s: float = WATCH_TIMEOUT_S,
     ) -> None:
         """Create a follower that has not read the table yet."""
-        self.version = -1
         self.is_reachable = False
         self._table = table
         self._feed = feed
-        self._on_change = on_change
+        self._replica = replica
         self._watch_timeout_s = watch_timeout_s
-        self._rows: dict[str, bytes] = {}
+        self._must_read = True
         self._retry_delay_s = INITIAL_RETRY_DELAY_S
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
-            if self.version < 0:
+            if self._must_read:
                 answer = await self._feed.read(self._table)
             else:
-                answer = await self._feed.watch(self._table, self.version, self._watch_timeout_s)
+                answer = await self._feed.watch(
+                    self._table, self._replica.version, self._watch_timeout_s
+                )
             match answer:
                 case Ok(changes):
                     self._mark_reachable()
-                    self._apply(changes)
+                    await self._apply(changes)
                 case Err(error):
-                    if error.kind is StoreErrorKind.HISTORY_GONE:
-                        log.info(
-                            "config: change history not available, reading all rows table=%s",
-                            self._table,
-                        )
-                        self.version = -1
-                    else:
-                        self._mark_unreachable(error.message)
-                        await anyio.sleep(self._retry_delay_s)
-                        self._retry_delay_s = min(2 * self._retry_delay_s, MAX_RETRY_DELAY_S)
-
-    def _apply(self, changes: RowChanges) -> None:
-        if self.version < 0:
-            self._rows = {}
-        is_changed = self.version < 0 or bool(changes.rows or changes.removed)
-        self._rows.update({row.key: row.value for row in changes.rows})
-        for key in changes.removed:
-            self._rows.pop(key, None)
-        self.version = max(self.version, changes.version)
-        if is_changed:
-            self._on_change(dict(self._rows), self.version)
+                    await self._handle_error(error)
+
+    async def _apply(self, changes: RowChanges) -> None:
+        if not self._must_read:
+            self._replica.apply(changes)
+        elif self._replica.replace(changes.rows, changes.version):
+            self._must_read = False
+        else:
+            log.warning(
+                "config: read is behind, repeating it table=%s read_version=%d version=%d",
+                self._table,
+                changes.version,
+                self._replica.version,
+            )
+            await self._pause()
+            return
+        self._retry_delay_s = INITIAL_RETRY_DELAY_S
+        self._replica.confirm(at_s=anyio.current_time())
+
+    async def _handle_error(self, error: StoreError) -> None:
+        if error.kind is StoreErrorKind.HISTORY_GONE and not self._must_read:
+            log.info("config: change history not available, reading all rows table=%s", self._table)
+            self._must_read = True
+            return
+        self._mark_unreachable(error.message)
+        await self._pause()
+
+    async def _pause(self) -> None:
+        await anyio.sleep(self._retry_delay_s)
+        self._retry_delay_s = min(2 * self._retry_delay_s, MAX_RETRY_DELAY_S)
 
     def _mark_reachable(self) -> None:
-        self._retry_delay_s = INITIAL_RETRY_DELAY_S
         if not self.is_reachable:
             self.is_reachable = True
-            log.info("config: store reachable table=%s version=%d", self._table, self.version)
+            log.info(
+                "config: store reachable table=%s version=%d", self._table, self._replica.version
+            )
 
     def _mark_unreachable(self, cause: str) -> None:
         if self.is_reachable:
@@ -92,6 +99,6 @@
             log.warning(
                 "config: store not reachable table=%s version=%d cause=%s",
                 self._table,
-                self.version,
+                self._replica.version,
                 cause,
             )
--- a/persimmoncrank/protocol/__init__.py
+++ b/persimmoncrank/protocol/__init__.py
@@ -128,6 +128,7 @@
     from persimmoncrank.protocol._platform import (
         Committed,
         ObjectStore,
+        RemovedRow,
         Row,
         RowChanges,
         Rows,
@@ -213,6 +214,7 @@
     "Queue",
     "QueueTable",
     "RefusalReason",
+    "RemovedRow",
     "Renewal",
     "Row",
     "RowChanges",
@@ -333,6 +335,7 @@
     "QueueTable": "_queues",
     "RefusalReason": "_batches",
     "Renewal": "_dispatch",
+    "RemovedRow": "_platform",
     "Row": "_platform",
     "RowChanges": "_platform",
     "Rows": "_platform",
--- a/persimmoncrank/protocol/_platform.py
+++ b/persimmoncrank/protocol/_platform.py
@@ -73,12 +73,23 @@
     rows: tuple[Row, ...]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RemovedRow:
+    """A row that was removed at a version."""
+
+    key: str
+    version: int
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RowChanges:
-    """Rows of a table and keys of removed ones; ``version`` is where the next watch continues."""
+    """Changed and removed rows of a table; ``version`` is where the next watch continues.
+
+    No key is in both ``rows`` and ``removed``.
+    """
 
     rows: tuple[Row, ...]
-    removed: tuple[str, ...]
+    removed: tuple[RemovedRow, ...]
     version: int
 
 
--- a/persimmoncrank/state/__init__.py
+++ b/persimmoncrank/state/__init__.py
@@ -60,6 +60,7 @@
         TaskKey,
         has_ended,
     )
+    from persimmoncrank.state._table_replica import TableReplica
     from persimmoncrank.state._worker_health import (
         MIN_PROGRESS_PERCENT,
         WorkerHealth,
@@ -87,6 +88,7 @@
     "RunState",
     "ServiceTimes",
     "StartRecords",
+    "TableReplica",
     "TaskKey",
     "WorkerHealth",
     "age_s",
@@ -104,6 +106,7 @@
 ]
 
 _MODULES = {
+    "TableReplica": "_table_replica",
     "CRASH_RETENTION_S": "_crash_history",
     "CrashVerdict": "_crash_history",
     "CommonKind": "_crash_history",
--- a/persimmoncrank/tests/test_table_follower.py
+++ b/persimmoncrank/tests/test_table_follower.py
@@ -14,6 +14,7 @@
 from persimmoncrank.protocol import (
     Committed,
     EntryAddress,
+    RemovedRow,
     Row,
     RowChanges,
     Rows,
@@ -23,6 +24,7 @@
     TableService,
     encode_message,
 )
+from persimmoncrank.state import TableReplica
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -34,7 +36,8 @@
 def changes(version: int, *keys: str, removed: tuple[str, ...] = ()) -> Ok[RowChanges]:
     """Return a reply of the store with the changed rows up to a version."""
     rows = tuple(Row(key=key, version=version, value=b"v") for key in keys)
-    return Ok(RowChanges(rows=rows, removed=removed, version=version))
+    gone = tuple(RemovedRow(key=key, version=version) for key in removed)
+    return Ok(RowChanges(rows=rows, removed=gone, version=version))
 
 
 CASES: dict[str, tuple[list[Any], list[Any], list[tuple[int, set[str]]]]] = {
@@ -50,6 +53,11 @@
         [HISTORY_GONE_ERROR],
         [(3, {"a"}), (9, {"c"})],
     ),
+    "a read that is behind after lost history": (
+        [changes(9, "a"), changes(5, "b"), changes(9, "a"), changes(12, "c")],
+        [HISTORY_GONE_ERROR, HISTORY_GONE_ERROR],
+        [(9, {"a"}), (12, {"c"})],
+    ),
 }
 
 
@@ -76,7 +84,9 @@
 
     async def main() -> None:
         follower = TableFollower(
-            table="t", feed=TableFeed(read=read, watch=watch), on_change=record_change
+            table="t",
+            feed=TableFeed(read=read, watch=watch),
+            replica=TableReplica(on_change=record_change),
         )
         with anyio.move_on_after(5):
             await follower.run()
