Say how old an entry's configuration is, and by which version it knows no queue

No line or metric told how long ago the store last confirmed an entry's configuration, nor which version a 404 was decided by, so an entry that is turned away looked like one whose change is late. Admissions and the new line for requests without a queue carry both; config_age_seconds, config_queues_version and requests_without_queue_total show the same without logs. What an entry routes by is one part now, outside the dispatcher.

--- a/persimmoncrank/commands/dispatch.py
+++ b/persimmoncrank/commands/dispatch.py
@@ -20,6 +20,7 @@
 from persimmoncrank.coordination.dispatch import (
     Dispatcher,
     DispatchTimes,
+    Routing,
     follow_directory,
     load_crashes,
     register_entry,
@@ -128,13 +129,19 @@
         except anyio.WouldBlock:
             log.warning("entry: crash not stored, too many wait worker=%s", crash.worker)
 
+    replica = TableReplica()
+
+    def config_age_s() -> float:
+        return replica.age_s(now_s=anyio.current_time())
+
     dispatcher = Dispatcher(
         entry=entry,
+        routing=Routing(age_s=config_age_s),
         times=DispatchTimes(entry_lease_s=lease_s, worker_lease_s=lease_s),
         remote_data_factor=settings.remote_data_factor,
         on_new_crash=queue_crash,
     )
-    replica = TableReplica(on_change=_config_setter(dispatcher, store))
+    replica.on_change = _config_setter(dispatcher, store)
     follower = TableFollower(table=store.operator_table, feed=store.feed, replica=replica)
 
     def set_entries(entries: tuple[EntryAddress, ...]) -> None:
--- a/persimmoncrank/coordination/dispatch/__init__.py
+++ b/persimmoncrank/coordination/dispatch/__init__.py
@@ -7,6 +7,7 @@
 from persimmoncrank.coordination.dispatch._crash_store import load_crashes, store_crashes
 from persimmoncrank.coordination.dispatch._directory import follow_directory, register_entry
 from persimmoncrank.coordination.dispatch._dispatcher import Dispatcher
+from persimmoncrank.coordination.dispatch._routing import Routing
 from persimmoncrank.coordination.dispatch._worker_choice import (
     ChooseWorker,
     choose_worker,
@@ -20,6 +21,7 @@
     "DispatchTimes",
     "Dispatcher",
     "JobTask",
+    "Routing",
     "choose_worker",
     "follow_directory",
     "load_crashes",
--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -16,6 +16,7 @@
     choose_for_trial,
 )
 from persimmoncrank.coordination.dispatch._crash_answers import crash_answer, untried_cause
+from persimmoncrank.coordination.dispatch._routing import Routing
 from persimmoncrank.coordination.dispatch._worker_choice import (
     ChooseWorker,
     choose_worker,
@@ -76,6 +77,7 @@
         times: DispatchTimes,
         choose: ChooseWorker = choose_worker,
         remote_data_factor: float = 1.0,
+        routing: Routing | None = None,
         on_new_crash: Callable[[WorkerCrash], None] = lambda _crash: None,
     ) -> None:
         """Create a dispatcher without agents and queues.
@@ -87,9 +89,7 @@
         self._remote_data_factor = remote_data_factor
         self.jobs: dict[str, JobRun] = {}
         self.pending: list[JobTask] = []
-        self.queues = QueueTable()
-        self.withdrawn: frozenset[str] = frozenset()
-        self.config_version = -1
+        self.routing = routing or Routing()
         self._leave_deadline_s: float | None = None
         self.streams = AgentStreams(
             entry=entry,
@@ -118,25 +118,14 @@
 
     def set_config(self, queues: QueueTable, withdrawn: Iterable[str], version: int) -> None:
         """Apply a configuration if it is newer than the current one."""
-        if version <= self.config_version:
-            return
-        self.config_version = version
-        self.queues = queues
-        self.withdrawn = frozenset(withdrawn)
-        log.info(
-            "entry: configuration in force version=%d queues_version=%d queues=%d withdrawn=%s",
-            version,
-            queues.version,
-            len(queues.queues),
-            ",".join(sorted(self.withdrawn)) or "none",
-        )
-        self.streams.set_withdrawn(self.withdrawn, version)
+        if self.routing.set(queues, withdrawn, version):
+            self.streams.set_withdrawn(self.routing.withdrawn, version)
 
     @property
     def is_ready(self) -> bool:
         """Whether jobs can be served: there is a configuration and an agent is connected."""
         has_agent = any(link.is_connected for link in self.links.values())
-        return self.config_version >= 0 and has_agent and not self.is_leaving
+        return self.routing.is_loaded and has_agent and not self.is_leaving
 
     @property
     def is_leaving(self) -> bool:
@@ -246,11 +235,12 @@
         self.jobs[job.job_id] = run
         self.counters.jobs_admitted += 1
         log.info(
-            "entry: job admitted job=%s queue=%s queues_version=%d tasks=%d chain_ms=%d pending=%d"
-            " rack=%s",
+            "entry: job admitted job=%s queue=%s queues_version=%d config_age_ms=%s tasks=%d"
+            " chain_ms=%d pending=%d rack=%s",
             job.job_id,
             job.queue.name,
-            self.queues.version,
+            self.routing.queues.version,
+            self.routing.age_text(),
             len(run.tasks),
             run.critical_path_s * 1000,
             len(self.pending),
@@ -360,7 +350,7 @@
         elif self.containment.is_confined(task):
             choose = choose_confined
         links = self.containment.usable_links(task, candidates)
-        return choose(task, links, withdrawn=self.withdrawn, now_s=now_s)
+        return choose(task, links, withdrawn=self.routing.withdrawn, now_s=now_s)
 
     def _order_task(self, task: JobTask, link: AgentLink, *, is_trial: bool, now_s: float) -> None:
         job, report = task.job, link.report
@@ -552,7 +542,7 @@
     def _has_eligible_worker(self, task: JobTask) -> bool:
         """Return whether a connected worker may run a task."""
         return any(
-            is_eligible(task, link, withdrawn=self.withdrawn)
+            is_eligible(task, link, withdrawn=self.routing.withdrawn)
             for link in self.containment.usable_links(task, self.links.values())
         )
 
--- /dev/null
+++ b/persimmoncrank/coordination/dispatch/_routing.py
@@ -0,0 +1,82 @@
+"""The configuration in force at an entry: the queues of its jobs, and withdrawn failure domains."""
+
+from __future__ import annotations
+
+import logging
+import math
+from typing import TYPE_CHECKING
+
+from persimmoncrank.protocol import QueueTable
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from persimmoncrank.protocol import Queue
+
+log = logging.getLogger(__name__)
+
+NO_VERSION = -1
+MAX_LOGGED_PATH_CHARS = 100
+
+
+def unknown_age_s() -> float:
+    """Return the age of a configuration that nobody confirms."""
+    return math.inf
+
+
+class Routing:
+    """The newest configuration that an entry knows.
+
+    ``version`` is the store's version of it, which orders configurations; the version of the queues
+    is the operator's own number. ``age_s`` returns the time since the store last confirmed it.
+    """
+
+    def __init__(self, *, age_s: Callable[[], float] = unknown_age_s) -> None:
+        """Create a routing without a configuration."""
+        self.version = NO_VERSION
+        self.queues = QueueTable()
+        self.withdrawn: frozenset[str] = frozenset()
+        self.unknown_queue_count = 0
+        self.age_s = age_s
+
+    @property
+    def is_loaded(self) -> bool:
+        """Whether there is a configuration."""
+        return self.version != NO_VERSION
+
+    def set(self, queues: QueueTable, withdrawn: Iterable[str], version: int) -> bool:
+        """Take over a configuration; return False if it is not newer than the current one."""
+        if version <= self.version:
+            return False
+        self.version = version
+        self.queues = queues
+        self.withdrawn = frozenset(withdrawn)
+        log.info(
+            "entry: configuration in force version=%d queues_version=%d queues=%d withdrawn=%s",
+            version,
+            queues.version,
+            len(queues.queues),
+            ",".join(sorted(self.withdrawn)) or "none",
+        )
+        return True
+
+    def find_queue(self, host: str, path: str) -> Queue | None:
+        """Return the queue for a request, or None if there is none."""
+        queue = self.queues.find(host, path)
+        if queue is None:
+            self.unknown_queue_count += 1
+            log.info(
+                "entry: no queue for request path=%s host=%s config_version=%d queues_version=%d"
+                " config_age_ms=%s",
+                path[:MAX_LOGGED_PATH_CHARS],
+                host[:MAX_LOGGED_PATH_CHARS],
+                self.version,
+                self.queues.version,
+                self.age_text(),
+            )
+        return queue
+
+    def age_text(self) -> str:
+        """Return the age of the configuration in milliseconds, for log lines."""
+        age_s = self.age_s()
+        return f"{age_s * 1000:.0f}" if math.isfinite(age_s) else "unknown"
--- a/persimmoncrank/state/_table_replica.py
+++ b/persimmoncrank/state/_table_replica.py
@@ -15,6 +15,7 @@
 log = logging.getLogger(__name__)
 
 NO_VERSION = -1
+NEVER_S = -math.inf
 DIGEST_BYTES = 8
 
 
@@ -23,7 +24,8 @@
 
     Changes and whole copies arrive from several sources, in any order and repeatedly. The version
     never decreases, so a source that is behind changes nothing. ``confirmed_at_s`` is when the
-    store last said that nothing newer exists, by the clock of the caller.
+    store last said that nothing newer exists, by the clock of the caller. ``on_change`` receives
+    all values by key, and the version.
     """
 
     def __init__(
@@ -31,12 +33,12 @@
         *,
         on_change: Callable[[Mapping[str, bytes], int], None] = lambda _rows, _version: None,
     ) -> None:
-        """Create an empty copy; ``on_change`` receives all values by key, and the version."""
+        """Create an empty copy."""
         self.version = NO_VERSION
-        self.confirmed_at_s = -math.inf
+        self.confirmed_at_s = NEVER_S
         self.rows: dict[str, Row] = {}
         self.digest = _digest([])
-        self._on_change = on_change
+        self.on_change = on_change
 
     @property
     def is_loaded(self) -> bool:
@@ -79,7 +81,7 @@
         digest = _digest(self.rows.values())
         if is_first or digest != self.digest:
             self.digest = digest
-            self._on_change({key: row.value for key, row in self.rows.items()}, version)
+            self.on_change({key: row.value for key, row in self.rows.items()}, version)
 
 
 def _digest(rows: Iterable[Row]) -> int:
--- a/persimmoncrank/transport/_metrics.py
+++ b/persimmoncrank/transport/_metrics.py
@@ -151,7 +151,13 @@
         )
         metrics.set_gauge("jobs_running", "Jobs running now", len(dispatcher.jobs))
         metrics.set_gauge("tasks_pending", "Tasks waiting for room", len(dispatcher.pending))
-        metrics.set_gauge("config_version", "Version held", dispatcher.config_version)
+        routing = dispatcher.routing
+        metrics.set_gauge("config_version", "Version held", routing.version)
+        metrics.set_gauge("config_queues_version", "Operator's version", routing.queues.version)
+        metrics.set_gauge("config_age_seconds", "Time since confirmation", routing.age_s())
+        metrics.set_counter(
+            "requests_without_queue_total", "Requests without a queue", routing.unknown_queue_count
+        )
         metrics.set_counter("trials_total", "Trials of suspect tasks", counters.trials)
         metrics.set_gauge("crashes_known", "Recent worker crashes", len(dispatcher.crashes))
         is_confined = dispatcher.containment.confined is not None
