Get the configuration from other entries while the store does not answer

Cause: the store was the only source of the queues.

Change: an entry whose copy of the operator's table the store has not confirmed for 1.25 s, or whose last call to the store failed, asks two other entries four times a second, and takes over what is newer by the store's version; the rows are sent only if their digest differs. An entry that follows the store sends nothing.

In virtual time a change reaches 40 entries of which the store turns 80% away within 2 s.

--- a/persimmoncrank/coordination/configuration/__init__.py
+++ b/persimmoncrank/coordination/configuration/__init__.py
@@ -17,6 +17,11 @@
         ConfigWriter,
         applied_key,
     )
+    from persimmoncrank.coordination.configuration._peer_copies import (
+        PeerPorts,
+        follow_peers,
+        serve_copy,
+    )
     from persimmoncrank.coordination.configuration._table_follower import TableFollower
 
 __all__ = [
@@ -25,8 +30,11 @@
     "FRESHNESS_LIMIT_S",
     "ConfigReplica",
     "ConfigWriter",
+    "PeerPorts",
     "TableFollower",
     "applied_key",
+    "follow_peers",
+    "serve_copy",
 ]
 
 _MODULES = {
@@ -35,8 +43,11 @@
     "ConfigReplica": "_config_replica",
     "ConfigWriter": "_config_writer",
     "FRESHNESS_LIMIT_S": "_config_replica",
+    "PeerPorts": "_peer_copies",
     "TableFollower": "_table_follower",
     "applied_key": "_config_writer",
+    "follow_peers": "_peer_copies",
+    "serve_copy": "_peer_copies",
 }
 
 __getattr__ = lazy_exports(__name__, _MODULES)
--- /dev/null
+++ b/persimmoncrank/coordination/configuration/_peer_copies.py
@@ -0,0 +1,129 @@
+"""Copies of the operator's table from other entries, for an entry that the store does not answer.
+
+An entry whose copy is not confirmed by the store asks a few other entries a few times a second, and
+takes over what is newer. In this way a change reaches all entries that are connected to each other
+as soon as one of them has it, also in a partial outage of the store. An entry that follows the
+store sends nothing, so peers cost nothing in normal operation.
+"""
+
+from __future__ import annotations
+
+import itertools
+import logging
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import anyio
+
+from persimmoncrank.protocol import (
+    CopyReply,
+    CopyRequest,
+    DialStream,
+    EntryAddress,
+    MessageStream,
+    StreamClosedError,
+)
+
+if TYPE_CHECKING:
+    import random
+
+    from persimmoncrank.state import TableReplica
+
+log = logging.getLogger(__name__)
+
+POLL_INTERVAL_S = 0.25
+PEERS_PER_POLL = 2
+CALL_TIMEOUT_S = 0.5
+CONFIRMED_WITHIN_S = 1.25  # an idle watch of the store is answered once a second
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PeerPorts:
+    """What an entry needs to exchange copies with its peers.
+
+    ``addresses`` returns where peers serve copies, ``entries`` the entries to tell peers about, and
+    ``on_reply`` and ``on_request`` receive the entries that peers name.
+    """
+
+    dial: DialStream
+    addresses: Callable[[], Sequence[str]]
+    entries: Callable[[], tuple[EntryAddress, ...]]
+    on_reply: Callable[[tuple[EntryAddress, ...]], None]
+    on_request: Callable[[EntryAddress], None]
+
+
+async def serve_copy(stream: MessageStream, *, replica: TableReplica, ports: PeerPorts) -> None:
+    """Answer one request for a copy."""
+    request: CopyRequest | None = None
+    with anyio.move_on_after(CALL_TIMEOUT_S):
+        request = await stream.receive()
+    if request is None:
+        return
+    ports.on_request(request.entry)
+    is_newer = replica.version > request.known_version and replica.digest != request.known_digest
+    reply = CopyReply(
+        version=replica.version,
+        age_s=replica.age_s(now_s=anyio.current_time()),
+        rows=tuple(replica.rows.values()) if is_newer else None,
+        entries=ports.entries(),
+    )
+    await stream.send(reply)
+
+
+async def follow_peers(
+    *,
+    entry: EntryAddress,
+    replica: TableReplica,
+    is_following_store: Callable[[], bool],
+    ports: PeerPorts,
+    rng: random.Random,
+) -> None:
+    """Ask peers for newer copies while the store does not confirm the own one."""
+    offsets = itertools.count(rng.randrange(1_000_000), PEERS_PER_POLL)
+    while True:
+        await anyio.sleep(POLL_INTERVAL_S)
+        is_confirmed = replica.age_s(now_s=anyio.current_time()) <= CONFIRMED_WITHIN_S
+        if is_confirmed and is_following_store():
+            continue
+        async with anyio.create_task_group() as group:
+            for address in choose_peers(ports.addresses(), next(offsets)):
+                group.start_soon(_ask_peer, address, entry, replica, ports)
+
+
+def choose_peers(addresses: Sequence[str], offset: int) -> list[str]:
+    """Return the next peers to ask; offsets that rise by ``PEERS_PER_POLL`` reach all in turn."""
+    count = min(PEERS_PER_POLL, len(addresses))
+    return [addresses[(offset + number) % len(addresses)] for number in range(count)]
+
+
+async def _ask_peer(
+    address: str, entry: EntryAddress, replica: TableReplica, ports: PeerPorts
+) -> None:
+    request = CopyRequest(entry=entry, known_version=replica.version, known_digest=replica.digest)
+    reply: CopyReply | None = None
+    try:
+        with anyio.move_on_after(CALL_TIMEOUT_S):
+            async with ports.dial(address) as stream:
+                await stream.send(request)
+                reply = await stream.receive()
+    except StreamClosedError as error:
+        log.debug("config: peer does not answer address=%s cause=%s", address, error)
+    if reply is not None:
+        _apply_reply(reply, address, replica)
+        ports.on_reply(reply.entries)
+
+
+def _apply_reply(reply: CopyReply, address: str, replica: TableReplica) -> None:
+    if reply.version < 0 or reply.version < replica.version:
+        return
+    if reply.rows is not None and reply.version > replica.version:
+        log.info(
+            "config: copy taken over from a peer address=%s version=%d version_before=%d age_ms=%d",
+            address,
+            reply.version,
+            replica.version,
+            min(reply.age_s, 1e6) * 1000,
+        )
+        replica.replace(reply.rows, reply.version)
+    replica.confirm(at_s=anyio.current_time() - reply.age_s)
--- a/persimmoncrank/coordination/dispatch/__init__.py
+++ b/persimmoncrank/coordination/dispatch/__init__.py
@@ -5,7 +5,11 @@
 from persimmoncrank.coordination.dispatch._agent_link import AgentLink
 from persimmoncrank.coordination.dispatch._agent_streams import DispatchTimes
 from persimmoncrank.coordination.dispatch._crash_store import load_crashes, store_crashes
-from persimmoncrank.coordination.dispatch._directory import follow_directory, register_entry
+from persimmoncrank.coordination.dispatch._directory import (
+    EntryDirectory,
+    follow_directory,
+    register_entry,
+)
 from persimmoncrank.coordination.dispatch._dispatcher import Dispatcher
 from persimmoncrank.coordination.dispatch._routing import Routing
 from persimmoncrank.coordination.dispatch._worker_choice import (
@@ -20,6 +24,7 @@
     "ChooseWorker",
     "DispatchTimes",
     "Dispatcher",
+    "EntryDirectory",
     "JobTask",
     "Routing",
     "choose_worker",
--- a/persimmoncrank/protocol/__init__.py
+++ b/persimmoncrank/protocol/__init__.py
@@ -115,6 +115,10 @@
         VersionsReply,
         VersionsRequest,
     )
+    from persimmoncrank.protocol._peers import (
+        CopyReply,
+        CopyRequest,
+    )
     from persimmoncrank.protocol._plans import (
         AgentReport,
         EntryReport,
@@ -177,6 +181,8 @@
     "Committed",
     "ConfigHead",
     "ConfigSnapshot",
+    "CopyReply",
+    "CopyRequest",
     "CrashedRun",
     "Demand",
     "DialStream",
@@ -273,6 +279,8 @@
 
 _MODULES = {
     "WorkerCrash": "_dispatch",
+    "CopyReply": "_peers",
+    "CopyRequest": "_peers",
     "CrashedRun": "_dispatch",
     "ANSWERS": "_errors",
     "AgentConfig": "_config",
--- a/persimmoncrank/protocol/_dispatch.py
+++ b/persimmoncrank/protocol/_dispatch.py
@@ -157,10 +157,11 @@
 
 
 class EntryAddress(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """The address at which an incarnation of an entry serves its streams."""
+    """Where an incarnation of an entry serves its streams, and its copies to other entries."""
 
     incarnation: str
     address: str
+    peer_address: str = ""
 
 
 class AgentHello(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- /dev/null
+++ b/persimmoncrank/protocol/_peers.py
@@ -0,0 +1,37 @@
+"""Messages between entries, by which one gets the operator's table that it cannot read itself."""
+
+from __future__ import annotations
+
+import logging
+
+import msgspec
+
+from persimmoncrank.protocol._dispatch import EntryAddress
+from persimmoncrank.protocol._platform import Row
+
+log = logging.getLogger(__name__)
+
+
+class CopyRequest(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Asks an entry for its copy of the operator's table.
+
+    ``entry`` is the sender. The rows are sent only if they are newer than ``known_version`` and
+    differ from those with ``known_digest``.
+    """
+
+    entry: EntryAddress
+    known_version: int
+    known_digest: int
+
+
+class CopyReply(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """An entry's copy of the operator's table.
+
+    ``version`` is the store's version of it, negative if there is none. ``age_s`` is the time since
+    the store confirmed it. ``entries`` are those that the sender knows.
+    """
+
+    version: int
+    age_s: float
+    rows: tuple[Row, ...] | None = None
+    entries: tuple[EntryAddress, ...] = ()
--- a/persimmoncrank/settings/__init__.py
+++ b/persimmoncrank/settings/__init__.py
@@ -12,9 +12,11 @@
     AgentSettings,
     DispatchAgentSettings,
     DispatchEntrySettings,
+    DispatchSettings,
     EntrySettings,
     LogFormat,
     LogLevel,
+    peer_seeds,
     stream_seeds,
 )
 
@@ -22,6 +24,7 @@
     "AgentSettings",
     "DispatchAgentSettings",
     "DispatchEntrySettings",
+    "DispatchSettings",
     "EntrySettings",
     "LoadedSettings",
     "LogFormat",
@@ -29,5 +32,6 @@
     "SettingsError",
     "load_settings",
     "parse_settings",
+    "peer_seeds",
     "stream_seeds",
 ]
--- a/persimmoncrank/settings/_schema.py
+++ b/persimmoncrank/settings/_schema.py
@@ -114,7 +114,8 @@
 class DispatchEntrySettings(DispatchSettings):
     """The settings of an entry that dispatches to workers.
 
-    Tasks take ``remote_data_factor`` times as long on a worker that is far from their data.
+    Other entries get copies of the configuration at ``control_address``. Tasks take
+    ``remote_data_factor`` times as long on a worker that is far from their data.
     """
 
     front_address: Address
@@ -140,6 +141,11 @@
     return tuple(f"{host}:{settings.seed_stream_port}" for host in hosts)
 
 
+def peer_seeds(settings: DispatchSettings) -> tuple[str, ...]:
+    """Return where the seeds serve copies of the configuration."""
+    return settings.seeds
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class DeprecatedKey:
     """A key that is no longer read, and what to use instead."""
--- /dev/null
+++ b/persimmoncrank/tests/test_peer_copies.py
@@ -0,0 +1,320 @@
+"""Tests in virtual time that each change of the configuration reaches all entries in time."""
+
+from __future__ import annotations
+
+import contextlib
+import enum
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import pytest
+from anyio.abc import TaskGroup
+from result import Err, Ok
+
+from persimmoncrank.bench._network import run_virtual
+from persimmoncrank.coordination.configuration import (
+    PeerPorts,
+    TableFollower,
+    follow_peers,
+    serve_copy,
+)
+from persimmoncrank.coordination.dispatch import EntryDirectory
+from persimmoncrank.protocol import (
+    EntryAddress,
+    MessageStream,
+    Row,
+    RowChanges,
+    StoreError,
+    StoreErrorKind,
+    StreamClosedError,
+    TableFeed,
+)
+from persimmoncrank.state import TableReplica
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Mapping
+
+
+IN_FORCE_WITHIN_S = 2.0
+CONTACT_S = 3.0
+CALL_S = 0.004
+CALL_TIMEOUT_S = 1.0
+HOP_S = 0.001
+
+
+class Mode(enum.StrEnum):
+    """How the store treats an entry."""
+
+    OPEN = "open"
+    BUSY = "busy"
+    SILENT = "silent"
+    SLOW = "slow"
+    GONE = "history gone"
+    BEHIND = "reads behind"
+
+
+@dataclass(kw_only=True)
+class Store:
+    """A store with one row, whose value is its version."""
+
+    version: int = 1
+    modes: dict[int, Mode] = field(default_factory=dict)
+    changed: anyio.Event = field(default_factory=anyio.Event)
+
+    def put(self) -> None:
+        """Write the next version."""
+        self.version += 1
+        self.wake()
+
+    def wake(self) -> None:
+        """Let waiting calls look again."""
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def set_modes(self, entries: range, mode: Mode) -> None:
+        """Change how some entries are treated."""
+        self.modes.update(dict.fromkeys(entries, mode))
+        self.wake()
+
+    def feed(self, entry: int) -> TableFeed:
+        """Return the feed of an entry."""
+
+        def mode() -> Mode:
+            return self.modes.get(entry, Mode.OPEN)
+
+        async def read(_table: str) -> Any:
+            if mode() is Mode.SILENT:
+                await anyio.sleep(CALL_TIMEOUT_S)
+            await anyio.sleep(60 * CALL_S if mode() is Mode.SLOW else CALL_S)
+            if mode() in (Mode.SILENT, Mode.BUSY):
+                return _error(StoreErrorKind.UNAVAILABLE)
+            return _rows(self.version - (1 if mode() is Mode.BEHIND else 0))
+
+        async def watch(_table: str, after: int, wait_s: float) -> Any:
+            if mode() in (Mode.GONE, Mode.BEHIND):
+                return _error(StoreErrorKind.HISTORY_GONE)
+            with anyio.move_on_after(wait_s):
+                while self.version <= after and mode() in (Mode.OPEN, Mode.SLOW):
+                    await self.changed.wait()
+            if mode() is Mode.SILENT:
+                await anyio.sleep(wait_s)
+            answer = await read(_table)
+            return answer if self.version > after else _without_rows(answer)
+
+        return TableFeed(read=read, watch=watch)
+
+
+def _error(kind: StoreErrorKind) -> Any:
+    return Err(StoreError(kind=kind, message=kind.value))
+
+
+def _rows(version: int) -> Any:
+    row = Row(key="op/config", version=version, value=str(version).encode())
+    return Ok(RowChanges(rows=(row,), removed=(), version=version))
+
+
+def _without_rows(answer: Any) -> Any:
+    return answer.map(lambda found: RowChanges(rows=(), removed=(), version=found.version))
+
+
+@dataclass(kw_only=True)
+class Entry:
+    """An entry's part of the configuration, and the versions that were in force."""
+
+    replica: TableReplica
+    directory: EntryDirectory
+    in_force: list[int] = field(default_factory=list)
+
+
+@dataclass(kw_only=True)
+class Entries:
+    """Entries that are connected to each other and to a store."""
+
+    group: TaskGroup
+    rng: random.Random
+    seeds: tuple[str, ...]
+    store: Store = field(default_factory=Store)
+    running: list[Entry] = field(default_factory=list)
+    unreachable: set[str] = field(default_factory=set)
+    request_count: int = 0
+
+    def start(self) -> Entry:
+        """Start the next entry."""
+        number = len(self.running)
+        own = EntryAddress(incarnation=f"e{number}", address=f"s{number}", peer_address=f"{number}")
+        replica = TableReplica()
+        entry = Entry(
+            replica=replica, directory=EntryDirectory(own=own, on_change=lambda _entries: None)
+        )
+
+        def on_change(rows: Mapping[str, bytes], _version: int) -> None:
+            entry.in_force.append(int(rows["op/config"]))
+
+        replica.on_change = on_change
+        self.running.append(entry)
+        follower = TableFollower(table="op", feed=self.store.feed(number), replica=replica)
+
+        async def follow() -> None:
+            await follow_peers(
+                entry=own,
+                replica=replica,
+                is_following_store=lambda: follower.is_reachable,
+                ports=self.ports(entry),
+                rng=random.Random(self.rng.random()),
+            )
+
+        self.group.start_soon(follower.run)
+        self.group.start_soon(follow)
+        return entry
+
+    def ports(self, entry: Entry) -> PeerPorts:
+        """Return the ports of an entry to its peers."""
+        return PeerPorts(
+            dial=self.dial,
+            addresses=lambda: entry.directory.peer_addresses(self.seeds),
+            entries=entry.directory.entries,
+            on_reply=entry.directory.set_named,
+            on_request=entry.directory.add_heard,
+        )
+
+    @contextlib.asynccontextmanager
+    async def dial(self, address: str) -> AsyncIterator[MessageStream]:
+        """Open a stream to an entry."""
+        self.request_count += 1
+        await anyio.sleep(HOP_S)
+        if address in self.unreachable or int(address) >= len(self.running):
+            await anyio.sleep(self.rng.choice([0.0, 10.0]))
+            raise StreamClosedError("not connected")
+        there, back = (anyio.create_memory_object_stream[Any](1) for _ in range(2))
+        entry = self.running[int(address)]
+        async with anyio.create_task_group() as group:
+            stream = MessageStream(send=back[0].send, receive=there[1].receive)
+            group.start_soon(self._serve, stream, entry)
+            yield MessageStream(send=there[0].send, receive=back[1].receive)
+            group.cancel_scope.cancel()
+
+    async def _serve(self, stream: MessageStream, entry: Entry) -> None:
+        await anyio.sleep(HOP_S)
+        await serve_copy(stream, replica=entry.replica, ports=self.ports(entry))
+
+    async def wait_until_in_force(self, within_s: float) -> None:
+        """Wait until the newest version is in force at all entries."""
+        with anyio.fail_after(within_s):
+            while any(entry.in_force[-1:] != [self.store.version] for entry in self.running):
+                await anyio.sleep(0.005)
+
+
+def run_entries(scenario: Any, *, count: int, seed: int) -> None:
+    """Run a scenario with a number of entries in virtual time; check that none went back."""
+
+    async def main() -> None:
+        async with anyio.create_task_group() as group:
+            seeds = tuple(str(number) for number in range(3))
+            entries = Entries(group=group, rng=random.Random(seed), seeds=seeds)
+            for _ in range(count):
+                entries.start()
+            for entry in entries.running:
+                entry.directory.set_stored(_addresses(count))
+            await anyio.sleep(2.0)
+            await scenario(entries)
+            for entry in entries.running:
+                assert entry.in_force == sorted(entry.in_force)
+            group.cancel_scope.cancel()
+
+    run_virtual(main, seed=seed)
+
+
+def _addresses(count: int) -> tuple[EntryAddress, ...]:
+    return tuple(
+        EntryAddress(incarnation=f"e{number}", address=f"s{number}", peer_address=f"{number}")
+        for number in range(count)
+    )
+
+
+SHARES = [0.35, 0.8]
+
+
+# The store turns a share of the entries away while the operator reaches it.
+@pytest.mark.parametrize("count", [3, 40])
+@pytest.mark.parametrize("share", SHARES)
+@pytest.mark.parametrize(
+    ("mode", "change_after_s"),
+    [(Mode.BUSY, 0.1), (Mode.BUSY, 5.0), (Mode.SILENT, CONTACT_S), (Mode.SLOW, 0.1)],
+)
+@pytest.mark.parametrize("seed", range(3))
+def test_change_reaches_entries_that_the_store_turns_away(
+    count: int, share: float, mode: Mode, change_after_s: float, seed: int
+) -> None:
+    async def scenario(entries: Entries) -> None:
+        entries.store.set_modes(range(int(count * share)), mode)
+        await anyio.sleep(change_after_s)
+        for _ in range(3):
+            entries.store.put()
+            await entries.wait_until_in_force(IN_FORCE_WITHIN_S)
+            await anyio.sleep(entries.rng.random())
+
+    run_entries(scenario, count=count, seed=seed)
+
+
+@pytest.mark.parametrize("mode", [Mode.GONE, Mode.SLOW])
+def test_change_is_in_force_in_time_at_a_store_with_another_disruption(mode: Mode) -> None:
+    async def scenario(entries: Entries) -> None:
+        entries.store.set_modes(range(3), mode)
+        await anyio.sleep(0.1)
+        entries.store.put()
+        await entries.wait_until_in_force(IN_FORCE_WITHIN_S)
+
+    run_entries(scenario, count=3, seed=1)
+
+
+# The end of a disruption is the earliest time from which the bound counts again.
+@pytest.mark.parametrize("mode", [Mode.BUSY, Mode.SILENT, Mode.BEHIND])
+@pytest.mark.parametrize("seed", range(5))
+def test_change_is_in_force_in_time_after_a_disruption_of_the_whole_store(
+    mode: Mode, seed: int
+) -> None:
+    async def scenario(entries: Entries) -> None:
+        entries.store.set_modes(range(3), mode)
+        await anyio.sleep(2.0 + entries.rng.random() * 3)
+        entries.store.put()
+        entries.store.set_modes(range(3), Mode.OPEN)
+        await entries.wait_until_in_force(CONTACT_S)
+
+    run_entries(scenario, count=3, seed=seed)
+
+
+def test_entries_keep_their_configuration_if_nobody_has_a_newer_one() -> None:
+    async def scenario(entries: Entries) -> None:
+        entries.store.set_modes(range(5), Mode.BUSY)
+        entries.unreachable = {str(number) for number in range(5)}
+        await anyio.sleep(60.0)
+        assert all(entry.in_force == [1] for entry in entries.running)
+
+    run_entries(scenario, count=5, seed=1)
+
+
+def test_entry_at_a_new_address_gets_a_copy_and_becomes_known() -> None:
+    async def scenario(entries: Entries) -> None:
+        entries.store.set_modes(range(3, 4), Mode.BUSY)
+        entries.unreachable = {"0"}
+        entries.store.put()
+        new = entries.start()
+        await entries.wait_until_in_force(IN_FORCE_WITHIN_S)
+        known = entries.running[1].directory.entries()
+        assert "s3" in {entry.address for entry in known}
+        assert new.replica.is_loaded
+
+    run_entries(scenario, count=3, seed=1)
+
+
+@pytest.mark.parametrize(("mode", "limit_per_s"), [(Mode.OPEN, 0.1), (Mode.BUSY, 8.0)])
+def test_requests_to_peers_are_limited(mode: Mode, limit_per_s: float) -> None:
+    async def scenario(entries: Entries) -> None:
+        entries.store.set_modes(range(40), mode)
+        before = entries.request_count
+        await anyio.sleep(20.0)
+        assert (entries.request_count - before) / 40 / 20.0 <= limit_per_s
+
+    run_entries(scenario, count=40, seed=1)
