Let no bytes from outside end a process or affect other rows

The class: bytes from outside that reach code which does not expect what they can be.

Where leaving out a row would be unsafe, the caller gets an error: a recovery that cannot read the list of agents does not answer that a submission has not run. The addresses of the entries in virtual time now have ports.

The settings' error for a list of addresses names what is expected instead of a pattern.

--- a/persimmoncrank/bench/_worker_world.py
+++ b/persimmoncrank/bench/_worker_world.py
@@ -37,6 +37,7 @@
     WorkerJob,
     WorkerJobAnswer,
     WorkerPort,
+    parse_address,
 )
 from persimmoncrank.standin import MemoryPlatform, WorkerStandin
 from persimmoncrank.state import LatencyHistogram
@@ -47,7 +48,7 @@
 
 log = logging.getLogger(__name__)
 
-LEASE_S = 0.585  # 0.45 of RESEND_S, as in ``commands/dispatch.py``
+LEASE_S = 0.585  # 0.45 of RESEND_S, as in ``commands/_dispatch_role.py``
 RESEND_S = 1.3
 HEARTBEAT_S = 1.5
 DELAY_S = 0.0015
@@ -66,6 +67,10 @@
 )
 
 
+def _address(entry: str) -> str:
+    return f"{entry}:1"
+
+
 @dataclass(kw_only=True, eq=False)
 class _Pipe:
     """One direction of a stream; messages across a partition wait until it heals."""
@@ -128,15 +133,16 @@
         @contextlib.asynccontextmanager
         async def dial(address: str) -> AsyncIterator[MessageStream]:
             await anyio.sleep(2 * DELAY_S)
-            endpoints = frozenset({name, address})
+            entry, _ = parse_address(address)
+            endpoints = frozenset({name, entry})
             if self.is_cut(endpoints):
                 await anyio.sleep(0.5)
                 raise StreamClosedError("no answer")
-            if address not in self.serve:
+            if entry not in self.serve:
                 raise StreamClosedError("refused")
             to_server, from_server = _Pipe(endpoints=endpoints), _Pipe(endpoints=endpoints)
             self.pipes += [to_server, from_server]
-            self.groups[address].start_soon(self._serve, address, to_server, from_server)
+            self.groups[entry].start_soon(self._serve, entry, to_server, from_server)
             try:
                 yield self._stream(name, from_server, to_server)
             finally:
@@ -265,7 +271,9 @@
         """Start an entry with the current configuration, unless it is running."""
         if name in self.entries:
             return
-        entry = EntryAddress(incarnation=f"{name}-{next(self._incarnation_numbers)}", address=name)
+        entry = EntryAddress(
+            incarnation=f"{name}-{next(self._incarnation_numbers)}", address=_address(name)
+        )
         times = DispatchTimes(entry_lease_s=LEASE_S, worker_lease_s=LEASE_S)
         send_crash, new_crashes = anyio.create_memory_object_stream[WorkerCrash](math.inf)
         dispatcher = Dispatcher(
@@ -380,9 +388,10 @@
                 async with anyio.create_task_group() as group:
                     group.start_soon(send_heartbeats)
                     # ``set_seeds`` iterates a set, whose order differs between runs.
-                    for address in self.entries:
+                    addresses = [_address(name) for name in self.entries]
+                    for address in addresses:
                         agent.links.add_address(address)
-                    agent.set_seeds(self.entries)
+                    agent.set_seeds(addresses)
                     await agent.run()
                     group.cancel_scope.cancel()
             self.network.reset(name)
--- a/persimmoncrank/commands/_dispatch_entry.py
+++ b/persimmoncrank/commands/_dispatch_entry.py
@@ -215,8 +215,7 @@
 ) -> Callable[[Mapping[str, bytes], int], None]:
     def set_config(rows: Mapping[str, bytes], version: int) -> None:
         queues, withdrawn = store.decode_operator_rows(rows)
-        if queues is not None:
-            dispatcher.set_config(queues, withdrawn, version)
+        dispatcher.set_config(queues, withdrawn, version)
 
     return set_config
 
--- a/persimmoncrank/coordination/configuration/_config_replica.py
+++ b/persimmoncrank/coordination/configuration/_config_replica.py
@@ -11,7 +11,6 @@
 from dataclasses import dataclass
 
 import anyio
-import msgspec
 from result import Err, Ok, Result
 
 from persimmoncrank.protocol import (
@@ -22,7 +21,7 @@
     StoreErrorKind,
     SyncReply,
     TableService,
-    decode_message,
+    try_decode_message,
 )
 from persimmoncrank.state import (
     NEVER_S,
@@ -183,7 +182,10 @@
             case Ok(None):
                 return Ok(0)
             case Ok(Row() as row):
-                version = decode_message(row.value, ConfigHead).version
+                stored_head = try_decode_message(row.value, ConfigHead, name=row.key)
+                if stored_head is None:
+                    return Err(_unreadable(row))
+                version = stored_head.version
         if version > self._snapshot.version:
             return await self._read_snapshot()
         self._apply(None, version=version, proved_at_s=asked_at_s)
@@ -192,21 +194,15 @@
     async def _read_snapshot(self) -> Result[int, StoreError]:
         asked_at_s = anyio.current_time()
         read = await self._table.get(self._keys.snapshot)
-        match read:
-            case Err(error):
-                return Err(error)
-            case Ok(None):
-                return Err(
-                    StoreError(
-                        kind=StoreErrorKind.CONFLICT,
-                        message="the store has a version row but no snapshot row",
-                    )
-                )
-            case Ok(Row() as row):
-                try:
-                    snapshot = decode_message(row.value, ConfigSnapshot)
-                except msgspec.MsgspecError as error:
-                    return Err(StoreError(kind=StoreErrorKind.CONFLICT, message=str(error)))
+        if read.is_err():
+            return Err(read.unwrap_err())
+        row = read.unwrap()
+        if row is None:
+            message = "the store has a version row but no snapshot row"
+            return Err(StoreError(kind=StoreErrorKind.CONFLICT, message=message))
+        snapshot = try_decode_message(row.value, ConfigSnapshot, name=row.key)
+        if snapshot is None:
+            return Err(_unreadable(row))
         self._apply(snapshot, version=snapshot.version, proved_at_s=asked_at_s)
         return Ok(snapshot.version)
 
@@ -298,3 +294,8 @@
             relevant.update(group)
         for incarnation in [p for p in self._peer_versions if p not in relevant]:
             del self._peer_versions[incarnation]
+
+
+def _unreadable(row: Row) -> StoreError:
+    message = f"the row {row.key!r} cannot be read"
+    return StoreError(kind=StoreErrorKind.CONFLICT, message=message)
--- a/persimmoncrank/coordination/configuration/_config_writer.py
+++ b/persimmoncrank/coordination/configuration/_config_writer.py
@@ -22,10 +22,10 @@
     TableService,
     Transaction,
     Write,
-    decode_message,
     encode_message,
     refusal,
     store_refusal,
+    try_decode_message,
 )
 from persimmoncrank.state import next_elector_groups
 
@@ -151,9 +151,12 @@
                 snapshot=ConfigSnapshot(), head_row_version=0, snapshot_row_version=0
             )
             return Ok(empty)
+        stored = try_decode_message(snapshot_row.value, ConfigSnapshot, name=snapshot_row.key)
+        if stored is None:
+            return Err(store_refusal("the stored configuration cannot be read"))
         return Ok(
             _StoredConfig(
-                snapshot=decode_message(snapshot_row.value, ConfigSnapshot),
+                snapshot=stored,
                 head_row_version=head_row.version,
                 snapshot_row_version=snapshot_row.version,
             )
--- a/persimmoncrank/coordination/dispatch/_crash_store.py
+++ b/persimmoncrank/coordination/dispatch/_crash_store.py
@@ -19,8 +19,8 @@
     Transaction,
     WorkerCrash,
     Write,
-    decode_message,
     encode_message,
+    try_decode_message,
 )
 from persimmoncrank.state import CRASH_RETENTION_S
 
@@ -91,7 +91,7 @@
     expired: list[str] = []
     recent = 0
     for row in rows:
-        stored = _decode(row)
+        stored = try_decode_message(row.value, _StoredCrash, name=row.key)
         if stored is None:
             continue
         age_s = max(now_unix_s - stored.at_unix_s, 0.0)
@@ -105,15 +105,6 @@
     return expired
 
 
-def _decode(row: Row) -> _StoredCrash | None:
-    """Return a row's crash, or None if it cannot be read, for example from a newer version."""
-    try:
-        return decode_message(row.value, _StoredCrash)
-    except msgspec.MsgspecError as error:
-        log.warning("entry: stored crash is not readable key=%s cause=%s", row.key, error)
-        return None
-
-
 async def store_crashes(
     *,
     table: TableService,
--- a/persimmoncrank/coordination/dispatch/_directory.py
+++ b/persimmoncrank/coordination/dispatch/_directory.py
@@ -10,10 +10,16 @@
 from typing import TYPE_CHECKING
 
 import anyio
-import msgspec
 from result import Err, Ok
 
-from persimmoncrank.protocol import EntryAddress, Transaction, Write, decode_message, encode_message
+from persimmoncrank.protocol import (
+    EntryAddress,
+    Transaction,
+    Write,
+    encode_message,
+    is_address,
+    try_decode_message,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -51,11 +57,13 @@
 
     def set_stored(self, entries: Iterable[EntryAddress]) -> None:
         """Set the registered entries."""
-        self._stored = tuple(entries)
+        self._stored = _dialable(entries)
         self._on_change(self.entries())
 
     def add_heard(self, entry: EntryAddress) -> None:
         """Add an entry that has sent a request."""
+        if not _dialable((entry,)):
+            return
         self._heard[entry.address] = (anyio.current_time(), entry)
         self._heard.move_to_end(entry.address)
         while len(self._heard) > MAX_HEARD:
@@ -64,7 +72,7 @@
 
     def set_named(self, entries: Iterable[EntryAddress]) -> None:
         """Set the entries that a peer has named; they are asked, but not passed on."""
-        self._named = tuple(entries)
+        self._named = _dialable(entries)
 
     def peer_addresses(self, seeds: Iterable[str]) -> tuple[str, ...]:
         """Return where other entries and the seeds serve copies, in a fixed order."""
@@ -72,6 +80,17 @@
         return tuple(sorted({*seeds, *named} - {"", self._own.peer_address}))
 
 
+def _dialable(entries: Iterable[EntryAddress]) -> tuple[EntryAddress, ...]:
+    """Return the entries whose addresses are valid; another writer's row may have others."""
+    found: list[EntryAddress] = []
+    for entry in entries:
+        if is_address(entry.address) and (not entry.peer_address or is_address(entry.peer_address)):
+            found.append(entry)
+        else:
+            log.warning("membership: entry ignored, its address is invalid entry=%.200r", entry)
+    return tuple(found)
+
+
 async def register_entry(*, table: TableService, name: str, entry: EntryAddress) -> None:
     """Write the entry's row, with retries; a newer incarnation overwrites the row of its name."""
     write = Write(
@@ -94,23 +113,11 @@
     while True:
         match await table.scan(f"{DIRECTORY_TABLE}/", 0):
             case Ok(found):
-                on_entries(
-                    tuple(_decode(row.value) for row in found.rows if _is_decodable(row.value))
+                entries = (
+                    try_decode_message(row.value, EntryAddress, name=row.key) for row in found.rows
                 )
+                on_entries(tuple(entry for entry in entries if entry is not None))
                 await anyio.sleep(READ_INTERVAL_S)
             case Err(error):
                 log.debug("membership: reading the directory failed cause=%s", error.message)
                 await anyio.sleep(RETRY_INTERVAL_S)
-
-
-def _decode(value: bytes) -> EntryAddress:
-    return decode_message(value, EntryAddress)
-
-
-def _is_decodable(value: bytes) -> bool:
-    try:
-        _decode(value)
-    except msgspec.MsgspecError as error:
-        log.warning("membership: directory row not decodable cause=%s", error)
-        return False
-    return True
--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -116,8 +116,11 @@
 
     # Configuration and members.
 
-    def set_config(self, queues: QueueTable, withdrawn: Iterable[str], version: int) -> None:
-        """Apply a configuration if it is newer than the current one."""
+    def set_config(self, queues: QueueTable | None, withdrawn: Iterable[str], version: int) -> None:
+        """Apply a configuration if it is newer than the current one.
+
+        Without queues, for example if they cannot be read, the current ones stay in force.
+        """
         if self.routing.set(queues, withdrawn, version):
             self.streams.set_withdrawn(self.routing.withdrawn, version)
 
--- a/persimmoncrank/coordination/dispatch/_routing.py
+++ b/persimmoncrank/coordination/dispatch/_routing.py
@@ -28,34 +28,36 @@
     """The newest configuration that an entry knows.
 
     ``version`` is the store's version of it, which orders configurations; the version of the queues
-    is the operator's own number. ``age_s`` returns the time since the store last confirmed it.
+    is the operator's own number. ``is_loaded`` is set once there are queues. ``age_s`` returns the
+    time since the store last confirmed the configuration.
     """
 
     def __init__(self, *, age_s: Callable[[], float] = unknown_age_s) -> None:
         """Create a routing without a configuration."""
         self.version = NO_VERSION
+        self.is_loaded = False
         self.queues = QueueTable()
         self.withdrawn: frozenset[str] = frozenset()
         self.unknown_queue_count = 0
         self.age_s = age_s
 
-    @property
-    def is_loaded(self) -> bool:
-        """Whether there is a configuration."""
-        return self.version != NO_VERSION
+    def set(self, queues: QueueTable | None, withdrawn: Iterable[str], version: int) -> bool:
+        """Take over a configuration; return False if it is not newer than the current one.
 
-    def set(self, queues: QueueTable, withdrawn: Iterable[str], version: int) -> bool:
-        """Take over a configuration; return False if it is not newer than the current one."""
+        Without queues, the current ones stay in force.
+        """
         if version <= self.version:
             return False
         self.version = version
-        self.queues = queues
+        if queues is not None:
+            self.queues = queues
+            self.is_loaded = True
         self.withdrawn = frozenset(withdrawn)
         log.info(
             "entry: configuration in force version=%d queues_version=%d queues=%d withdrawn=%s",
             version,
-            queues.version,
-            len(queues.queues),
+            self.queues.version,
+            len(self.queues.queues),
             ",".join(sorted(self.withdrawn)) or "none",
         )
         return True
--- a/persimmoncrank/coordination/execution/_entry_links.py
+++ b/persimmoncrank/coordination/execution/_entry_links.py
@@ -25,6 +25,7 @@
     StreamClosedError,
     WorkerCrash,
     WorkerReport,
+    is_address,
 )
 from persimmoncrank.state import CRASH_RETENTION_S, rendezvous_score
 
@@ -101,6 +102,9 @@
         """Dial an entry's address until it has sent no frame for ``ADDRESS_EXPIRY_S``."""
         if address in self._last_frame_at_s:
             return
+        if not is_address(address):
+            log.warning("agent: entry ignored, its address is invalid address=%.100r", address)
+            return
         self._last_frame_at_s[address] = anyio.current_time()
         if self._group is not None:
             self._group.start_soon(self._maintain_stream, address)
--- a/persimmoncrank/coordination/jobs/_claims.py
+++ b/persimmoncrank/coordination/jobs/_claims.py
@@ -19,9 +19,9 @@
     TableService,
     Transaction,
     Write,
-    decode_message,
     encode_message,
     store_refusal,
+    try_decode_message,
 )
 
 if TYPE_CHECKING:
@@ -76,10 +76,15 @@
             match read:
                 case Ok(None):
                     expected_version = 0
-                case Ok(Row() as row) if self._has_expired(row):
-                    expected_version = row.version
                 case Ok(Row() as row):
-                    return Ok(_claim_from_row(row))
+                    claim = try_decode_message(row.value, ClaimRow, name=row_key)
+                    if claim is None:
+                        return Err(store_refusal("the claim of the idempotency key cannot be read"))
+                    if claim.expires_at_unix_ms >= self._unix_ms():
+                        return Ok(
+                            Claim(submission_id=claim.submission_id, claim_version=row.version)
+                        )
+                    expected_version = row.version
                 case Err(_):
                     continue
         message = "the idempotency key could not be claimed: the store does not answer"
@@ -93,14 +98,6 @@
         write = Write(key=row_key, value=encode_message(claim), expected_version=expected_version)
         return await self._table.transact(Transaction(writes=(write,)))
 
-    def _has_expired(self, row: Row) -> bool:
-        return decode_message(row.value, ClaimRow).expires_at_unix_ms < self._unix_ms()
-
-
-def _claim_from_row(row: Row) -> Claim:
-    claim = decode_message(row.value, ClaimRow)
-    return Claim(submission_id=claim.submission_id, claim_version=row.version)
-
 
 def _row_key(customer: str, key: str) -> str:
     return f"claims/{customer}/{key}"
--- a/persimmoncrank/coordination/jobs/_job_table.py
+++ b/persimmoncrank/coordination/jobs/_job_table.py
@@ -30,10 +30,10 @@
     ObjectStore,
     ServiceError,
     SubmissionId,
-    decode_message,
     encode_message,
     failed_answer,
     refusal,
+    try_decode_message,
 )
 
 if TYPE_CHECKING:
@@ -339,7 +339,9 @@
         read = await self._objects.get(_answer_key(submission_id))
         stored = read.unwrap_or(None)
         if stored is not None:
-            return decode_message(stored, JobAnswer)
+            answer = try_decode_message(stored, JobAnswer, name=_answer_key(submission_id))
+            if answer is not None:
+                return answer
         return failed_answer(
             submission_id,
             ServiceError(
--- a/persimmoncrank/coordination/plans/_garbage_collector.py
+++ b/persimmoncrank/coordination/plans/_garbage_collector.py
@@ -19,7 +19,7 @@
     TableService,
     Transaction,
     Write,
-    decode_message,
+    try_decode_message,
 )
 
 if TYPE_CHECKING:
@@ -75,7 +75,8 @@
         for prefix, timestamp_of in _TIMESTAMP_READERS.items():
             scanned = await self._table.scan(prefix, 0)
             for row in scanned.map(lambda found: found.rows).unwrap_or(()):
-                if timestamp_of(row) < cutoff_unix_ms:
+                timestamp_ms = timestamp_of(row)
+                if timestamp_ms is not None and timestamp_ms < cutoff_unix_ms:
                     await self._delete(row)
 
     async def delete_absent_agents(self) -> None:
@@ -91,8 +92,10 @@
                 await self._delete(row)
 
     def _is_absent(self, row: Row) -> bool:
-        incarnation = decode_message(row.value, AgentRow).info.incarnation
-        view = self._views.get(incarnation)
+        agent_row = try_decode_message(row.value, AgentRow, name=row.key)
+        if agent_row is None:
+            return False
+        view = self._views.get(agent_row.info.incarnation)
         return view is None or view.status == AgentStatus.GONE
 
     async def _delete(self, row: Row) -> None:
@@ -101,12 +104,14 @@
         log.info("gc: row deleted key=%s is_done=%s", row.key, deleted.is_ok())
 
 
-def _proposed_at_unix_ms(row: Row) -> int:
-    return decode_message(row.value, Plan).proposed_at_unix_ms
+def _proposed_at_unix_ms(row: Row) -> int | None:
+    plan = try_decode_message(row.value, Plan, name=row.key)
+    return None if plan is None else plan.proposed_at_unix_ms
 
 
-def _applied_at_unix_ms(row: Row) -> int:
-    return decode_message(row.value, ConfigHead).written_at_unix_ms
+def _applied_at_unix_ms(row: Row) -> int | None:
+    head = try_decode_message(row.value, ConfigHead, name=row.key)
+    return None if head is None else head.written_at_unix_ms
 
 
 _TIMESTAMP_READERS = {
--- a/persimmoncrank/coordination/plans/_plans.py
+++ b/persimmoncrank/coordination/plans/_plans.py
@@ -28,10 +28,10 @@
     TableService,
     Transaction,
     Write,
-    decode_message,
     encode_message,
     refusal,
     store_refusal,
+    try_decode_message,
 )
 
 if TYPE_CHECKING:
@@ -136,10 +136,15 @@
         row, applied_row = read.unwrap(), applied.unwrap()
         if row is None:
             return Err(refusal(ErrorKind.NOT_FOUND, f"no plan {plan_id!r}", field="plan_id"))
-        plan = decode_message(row.value, Plan)
+        plan = try_decode_message(row.value, Plan, name=row.key)
+        if plan is None:
+            return Err(store_refusal(f"the stored plan {plan_id!r} cannot be read"))
         if applied_row is None:
             return Ok(PlanReport(plan=plan, state=PlanState.PROPOSED))
-        return Ok(self._make_report(plan, decode_message(applied_row.value, ConfigHead).version))
+        applied_head = try_decode_message(applied_row.value, ConfigHead, name=applied_row.key)
+        if applied_head is None:
+            return Err(store_refusal(f"the stored state of plan {plan_id!r} cannot be read"))
+        return Ok(self._make_report(plan, applied_head.version))
 
     async def confirm(self, plan_id: str) -> Result[PlanReport, ServiceError]:
         """Apply a plan; confirming it again has no effect.
--- a/persimmoncrank/coordination/recovery/_handover.py
+++ b/persimmoncrank/coordination/recovery/_handover.py
@@ -21,8 +21,8 @@
     TableService,
     Transaction,
     Write,
-    decode_message,
     encode_message,
+    try_decode_message,
 )
 from persimmoncrank.state import StartRecords
 
@@ -116,7 +116,9 @@
         row = read.unwrap_or(None)
         if row is None:
             return False
-        agent_row = decode_message(row.value, AgentRow)
+        agent_row = try_decode_message(row.value, AgentRow, name=key)
+        if agent_row is None:
+            return False
         if agent_row.records_at == self._incarnation:
             return True
         changed = AgentRow(info=agent_row.info, records_at=self._incarnation)
--- a/persimmoncrank/coordination/recovery/_recovery.py
+++ b/persimmoncrank/coordination/recovery/_recovery.py
@@ -28,8 +28,8 @@
     TableService,
     TaskResult,
     complete_answer,
-    decode_message,
     failed_answer,
+    try_decode_message,
 )
 
 log = logging.getLogger(__name__)
@@ -164,8 +164,15 @@
         if scanned.is_err():
             message = "the list of agents could not be read"
             return Err(_retryable_error(ErrorKind.STORE_UNAVAILABLE, message))
-        rows = (decode_message(row.value, AgentRow) for row in scanned.unwrap().rows)
-        return Ok([self._record_holder(row) for row in rows])
+        holders: list[RecordHolder] = []
+        for row in scanned.unwrap().rows:
+            agent_row = try_decode_message(row.value, AgentRow, name=row.key)
+            if agent_row is None:
+                # A row left out would make a submission look as if it had not run.
+                message = f"the row {row.key!r} of the list of agents cannot be read"
+                return Err(_retryable_error(ErrorKind.STORE_UNAVAILABLE, message))
+            holders.append(self._record_holder(agent_row))
+        return Ok(holders)
 
     def _record_holder(self, row: AgentRow) -> RecordHolder:
         info = row.info
--- a/persimmoncrank/protocol/__init__.py
+++ b/persimmoncrank/protocol/__init__.py
@@ -7,6 +7,10 @@
 from persimmoncrank._lazy import lazy_exports
 
 if TYPE_CHECKING:
+    from persimmoncrank.protocol._addresses import (
+        is_address,
+        parse_address,
+    )
     from persimmoncrank.protocol._batches import (
         AgentLoad,
         BatchReply,
@@ -36,6 +40,8 @@
         encode_json,
         encode_message,
         is_json,
+        json_decoder,
+        try_decode_message,
     )
     from persimmoncrank.protocol._config import (
         DEFAULT_REGION,
@@ -270,11 +276,15 @@
     "encode_json",
     "encode_message",
     "failed_answer",
+    "is_address",
     "is_json",
+    "json_decoder",
     "make_incarnation",
+    "parse_address",
     "parse_submission_id",
     "refusal",
     "store_refusal",
+    "try_decode_message",
 ]
 
 _MODULES = {
@@ -391,8 +401,12 @@
     "encode_json": "_codec",
     "encode_message": "_codec",
     "failed_answer": "_jobs",
+    "is_address": "_addresses",
     "is_json": "_codec",
+    "json_decoder": "_codec",
+    "try_decode_message": "_codec",
     "make_incarnation": "_ids",
+    "parse_address": "_addresses",
     "parse_submission_id": "_ids",
     "refusal": "_errors",
     "store_refusal": "_errors",
--- a/persimmoncrank/protocol/_codec.py
+++ b/persimmoncrank/protocol/_codec.py
@@ -4,17 +4,21 @@
 
 import logging
 import re
-from typing import Any, TypeVar
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import msgspec
 from result import Err, Ok, Result
 
 from persimmoncrank.protocol._errors import ErrorKind, ServiceError, refusal
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 log = logging.getLogger(__name__)
 
 T = TypeVar("T")
 
+_OTHER_ERRORS = (RecursionError, UnicodeDecodeError)  # raised by decoders for some bytes
 _encoder = msgspec.msgpack.Encoder()
 _PATH = re.compile(r" - at `\$\.?(?P<path>[^`]*)`$")
 _UNKNOWN_FIELD = re.compile(r"unknown field `(?P<name>[^`]*)`")
@@ -26,8 +30,38 @@
 
 
 def decode_message(data: bytes, message_type: type[T]) -> T:
-    """Decode a MessagePack message of a known type."""
-    return msgspec.msgpack.decode(data, type=message_type)
+    """Decode a MessagePack message of a known type; raise MsgspecError if it is not one."""
+    try:
+        return msgspec.msgpack.decode(data, type=message_type)
+    except _OTHER_ERRORS as error:
+        raise _decode_error(error) from error
+
+
+def try_decode_message(data: bytes, message_type: type[T], *, name: str) -> T | None:
+    """Decode a stored message; log its name and return None if it cannot be read."""
+    try:
+        return decode_message(data, message_type)
+    except msgspec.MsgspecError as error:
+        log.warning("store: message cannot be decoded name=%s cause=%s", name, error)
+        return None
+
+
+def json_decoder(body_type: type[T]) -> Callable[[bytes], T]:
+    """Return a function that decodes JSON of a known type; it raises MsgspecError if it fails."""
+    decode = msgspec.json.Decoder(body_type).decode
+
+    def decode_body(data: bytes) -> T:
+        try:
+            return decode(data)
+        except _OTHER_ERRORS as error:
+            raise _decode_error(error) from error
+
+    return decode_body
+
+
+def _decode_error(error: Exception) -> msgspec.DecodeError:
+    is_nested = isinstance(error, RecursionError)
+    return msgspec.DecodeError("the value is too deeply nested" if is_nested else str(error))
 
 
 def encode_json(value: Any) -> bytes:
@@ -38,10 +72,10 @@
 def decode_json(data: bytes, body_type: type[T]) -> Result[T, ServiceError]:
     """Decode a JSON body; the error names the offending field and the cause."""
     try:
-        return Ok(msgspec.json.decode(data, type=body_type))
+        return Ok(json_decoder(body_type)(data))
     except msgspec.ValidationError as error:
         return Err(_describe_validation(str(error)))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except msgspec.DecodeError as error:
         return Err(refusal(ErrorKind.INVALID_REQUEST, f"body is not valid JSON: {error}"))
 
 
@@ -56,10 +90,13 @@
     return refusal(ErrorKind.INVALID_REQUEST, cause, field=path or None)
 
 
+_decode_any = json_decoder(Any)
+
+
 def is_json(data: bytes) -> bool:
     """Return whether the bytes are one valid JSON value."""
     try:
-        msgspec.json.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        _decode_any(data)
+    except msgspec.DecodeError:
         return False
     return True
--- a/persimmoncrank/settings/_loader.py
+++ b/persimmoncrank/settings/_loader.py
@@ -57,7 +57,7 @@
     """Check the text of a settings file against the schema of a role."""
     try:
         table = tomllib.loads(text)
-    except tomllib.TOMLDecodeError as error:
+    except (tomllib.TOMLDecodeError, RecursionError) as error:
         return Err((SettingsError(key="file", value="", cause=f"is not valid TOML: {error}"),))
     hints = get_type_hints(schema, include_extras=True)
     values: dict[str, Any] = {}
@@ -89,9 +89,18 @@
 
 def _cause(hint: Any, error: msgspec.ValidationError) -> str:
     """Return what was expected, from the schema's description if it has one."""
+    described = _description(hint)
+    if described is not None:
+        return f"expected {described}"
+    items = [_description(item) for item in get_args(hint)]
+    item_described = next((text for text in items if text), None)
+    _, separator, path = str(error).rpartition(" - at ")
+    return f"expected {item_described}{separator}{path}" if item_described else str(error)
+
+
+def _description(hint: Any) -> str | None:
     metas = [meta for meta in get_args(hint) if isinstance(meta, msgspec.Meta)]
-    described = next((meta.description for meta in metas if meta.description), None)
-    return f"expected {described}" if described else str(error)
+    return next((meta.description for meta in metas if meta.description), None)
 
 
 def _warning(key: str, known: list[str]) -> str:
--- a/persimmoncrank/settings/_schema.py
+++ b/persimmoncrank/settings/_schema.py
@@ -11,10 +11,15 @@
 
 log = logging.getLogger(__name__)
 
+_HOST = r"[0-9A-Za-z.\-]{1,253}"
+_PORT = r"([1-9]\d{0,3}|[1-5]\d{4}|6[0-4]\d{3}|65[0-4]\d{2}|655[0-2]\d|6553[0-5])"  # 1 to 65535
 Address = Annotated[
-    str, Meta(pattern=r"^[0-9A-Za-z.\-]+:[0-9]{1,5}$", description="an address as host:port")
+    str,
+    Meta(pattern=f"^{_HOST}:{_PORT}\\Z", description="an address as host:port"),
+]
+Url = Annotated[
+    str, Meta(pattern=f"^http://{_HOST}(:{_PORT})?/?\\Z", description="a URL as http://host:port")
 ]
-Url = Annotated[str, Meta(pattern=r"^http://[^/\s]+/?$", description="a URL as http://host:port")]
 Name = Annotated[
     str,
     Meta(
--- a/persimmoncrank/tests/test_lease_on_demand.py
+++ b/persimmoncrank/tests/test_lease_on_demand.py
@@ -14,18 +14,25 @@
 
 from persimmoncrank.bench._worker_world import LEASE_S, make_worker_job
 from persimmoncrank.coordination.execution._entry_links import ASSIGNED_ENTRIES
+from persimmoncrank.protocol import parse_address
 from persimmoncrank.tests.worker_scenarios import run_scenario
 
 if TYPE_CHECKING:
     from persimmoncrank.bench._worker_world import WorkerWorld
+    from persimmoncrank.coordination.execution._entry_session import EntrySession
 
 FRAMES_PER_S_LIMIT = 60  # of an idle agent in both directions; four entries cost 40
 
 
+def entry_name(session: EntrySession) -> str:
+    """Return the name of the entry of a session."""
+    return parse_address(session.address)[0]
+
+
 def unassigned_entry(world: WorkerWorld, agent: str) -> str:
     """Return the name of an entry to which an agent is not assigned."""
     sessions = world.agents[agent].node.links.sessions.values()
-    return min(session.address for session in sessions if not session.is_assigned)
+    return min(entry_name(session) for session in sessions if not session.is_assigned)
 
 
 @pytest.mark.parametrize(("entries", "agents"), [(4, 2), (16, 2), (32, 2)])
@@ -49,10 +56,10 @@
 def test_agent_is_assigned_to_another_entry_when_one_is_lost() -> None:
     async def scenario(world: WorkerWorld) -> None:
         links = world.agents["a0"].node.links
-        lost = next(s.address for s in links.sessions.values() if s.is_assigned)
+        lost = next(entry_name(s) for s in links.sessions.values() if s.is_assigned)
         world.kill_entry(lost)
         await anyio.sleep(0.5)
-        assigned = {s.address for s in links.sessions.values() if s.is_assigned}
+        assigned = {entry_name(s) for s in links.sessions.values() if s.is_assigned}
         assert len(assigned) == ASSIGNED_ENTRIES
         assert lost not in assigned
 
@@ -123,7 +130,7 @@
         entry = unassigned_entry(world, "a0")
         full = make_worker_job("f" * 16, tasks=1, cpu_millis=16_000, estimate_s=5.0)
         sessions = world.agents["a0"].node.links.sessions.values()
-        other = min(session.address for session in sessions if session.is_assigned)
+        other = min(entry_name(session) for session in sessions if session.is_assigned)
         dispatcher = world.dispatcher(other)
         dispatcher._choose = lambda _task, found, **_options: next(
             (link for link in found if link.hello.agent == "a0"), None
--- a/persimmoncrank/tests/test_peer_copies.py
+++ b/persimmoncrank/tests/test_peer_copies.py
@@ -30,6 +30,7 @@
     StoreErrorKind,
     StreamClosedError,
     TableFeed,
+    parse_address,
 )
 from persimmoncrank.state import TableReplica
 
@@ -143,7 +144,9 @@
     def start(self) -> Entry:
         """Start the next entry."""
         number = len(self.running)
-        own = EntryAddress(incarnation=f"e{number}", address=f"s{number}", peer_address=f"{number}")
+        own = EntryAddress(
+            incarnation=f"e{number}", address=f"s{number}:1", peer_address=f"p{number}:1"
+        )
         replica = TableReplica()
         entry = Entry(
             replica=replica, directory=EntryDirectory(own=own, on_change=lambda _entries: None)
@@ -184,11 +187,12 @@
         """Open a stream to an entry."""
         self.request_count += 1
         await anyio.sleep(HOP_S)
-        if address in self.unreachable or int(address) >= len(self.running):
+        number = int(parse_address(address)[0].removeprefix("p"))
+        if address in self.unreachable or number >= len(self.running):
             await anyio.sleep(self.rng.choice([0.0, 10.0]))
             raise StreamClosedError("not connected")
         there, back = (anyio.create_memory_object_stream[Any](1) for _ in range(2))
-        entry = self.running[int(address)]
+        entry = self.running[number]
         async with anyio.create_task_group() as group:
             stream = MessageStream(send=back[0].send, receive=there[1].receive)
             group.start_soon(self._serve, stream, entry)
@@ -211,7 +215,7 @@
 
     async def main() -> None:
         async with anyio.create_task_group() as group:
-            seeds = tuple(str(number) for number in range(3))
+            seeds = tuple(f"p{number}:1" for number in range(3))
             entries = Entries(group=group, rng=random.Random(seed), seeds=seeds)
             for _ in range(count):
                 entries.start()
@@ -228,7 +232,7 @@
 
 def _addresses(count: int) -> tuple[EntryAddress, ...]:
     return tuple(
-        EntryAddress(incarnation=f"e{number}", address=f"s{number}", peer_address=f"{number}")
+        EntryAddress(incarnation=f"e{number}", address=f"s{number}:1", peer_address=f"p{number}:1")
         for number in range(count)
     )
 
@@ -288,7 +292,7 @@
 def test_entries_keep_their_configuration_if_nobody_has_a_newer_one() -> None:
     async def scenario(entries: Entries) -> None:
         entries.store.set_modes(range(5), Mode.BUSY)
-        entries.unreachable = {str(number) for number in range(5)}
+        entries.unreachable = {f"p{number}:1" for number in range(5)}
         await anyio.sleep(60.0)
         assert all(entry.in_force == [1] for entry in entries.running)
 
@@ -298,12 +302,12 @@
 def test_entry_at_a_new_address_gets_a_copy_and_becomes_known() -> None:
     async def scenario(entries: Entries) -> None:
         entries.store.set_modes(range(3, 4), Mode.BUSY)
-        entries.unreachable = {"0"}
+        entries.unreachable = {"p0:1"}
         entries.store.put()
         new = entries.start()
         await entries.wait_until_in_force(IN_FORCE_WITHIN_S)
         known = entries.running[1].directory.entries()
-        assert "s3" in {entry.address for entry in known}
+        assert "s3:1" in {entry.address for entry in known}
         assert new.replica.is_loaded
 
     run_entries(scenario, count=3, seed=1)
--- a/persimmoncrank/tests/test_rpc_client.py
+++ b/persimmoncrank/tests/test_rpc_client.py
@@ -21,9 +21,10 @@
     PeerErrorKind,
     SyncReply,
     SyncRequest,
+    parse_address,
 )
 from persimmoncrank.standin import free_addresses
-from persimmoncrank.transport import RpcClient, parse_address, serve_rpc
+from persimmoncrank.transport import RpcClient, serve_rpc
 
 if TYPE_CHECKING:
     from anyio.abc import SocketStream
--- a/persimmoncrank/tests/test_streams.py
+++ b/persimmoncrank/tests/test_streams.py
@@ -7,10 +7,15 @@
 import anyio
 import pytest
 
-from persimmoncrank.protocol import AgentFrame, EntryFrame, MessageStream, StreamClosedError
+from persimmoncrank.protocol import (
+    AgentFrame,
+    EntryFrame,
+    MessageStream,
+    StreamClosedError,
+    parse_address,
+)
 from persimmoncrank.standin import free_addresses
 from persimmoncrank.transport import serve_streams, stream_dialer
-from persimmoncrank.transport._addresses import parse_address
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/persimmoncrank/transport/__init__.py
+++ b/persimmoncrank/transport/__init__.py
@@ -7,9 +7,6 @@
 from persimmoncrank._lazy import lazy_exports
 
 if TYPE_CHECKING:
-    from persimmoncrank.transport._addresses import (
-        parse_address,
-    )
     from persimmoncrank.transport._agent_http import (
         agent_app,
     )
@@ -61,7 +58,6 @@
     "entry_app",
     "entry_metrics",
     "metrics_app",
-    "parse_address",
     "serve_http",
     "serve_rpc",
     "serve_streams",
@@ -84,7 +80,6 @@
     "agent_metrics": "_metrics",
     "entry_app": "_entry_http",
     "entry_metrics": "_metrics",
-    "parse_address": "_addresses",
     "serve_http": "_http_server",
     "serve_rpc": "_rpc_server",
     "serve_streams": "_streams",
--- a/persimmoncrank/transport/_datagrams.py
+++ b/persimmoncrank/transport/_datagrams.py
@@ -26,8 +26,8 @@
     SyncRequest,
     decode_message,
     encode_message,
+    parse_address,
 )
-from persimmoncrank.transport._addresses import parse_address
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -213,7 +213,12 @@
             return Err(PeerError(kind=PeerErrorKind.TIMEOUT, message=message_text))
         if request.flag == _FLAG_TOO_LARGE:
             return Ok(MessageTooLarge())
-        return Ok(decode_message(request.reply, reply_type))
+        try:
+            return Ok(decode_message(request.reply, reply_type))
+        except msgspec.MsgspecError as error:
+            return Err(
+                PeerError(kind=PeerErrorKind.TIMEOUT, message=f"no readable answer: {error}")
+            )
 
     def _send_request(self, address: str, type_index: int, content: bytes) -> _PendingRequest:
         self._last_request_id = (self._last_request_id + 1) % 2**32
--- a/persimmoncrank/transport/_http_server.py
+++ b/persimmoncrank/transport/_http_server.py
@@ -10,7 +10,7 @@
 import anyio
 import uvicorn
 
-from persimmoncrank.transport._addresses import parse_address
+from persimmoncrank.protocol import parse_address
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
--- a/persimmoncrank/transport/_streams.py
+++ b/persimmoncrank/transport/_streams.py
@@ -15,8 +15,8 @@
     StreamClosedError,
     decode_message,
     encode_message,
+    parse_address,
 )
-from persimmoncrank.transport._addresses import parse_address
 from persimmoncrank.transport._rpc_methods import MAX_MESSAGE_BYTES
 
 if TYPE_CHECKING:
@@ -88,11 +88,11 @@
 
     @contextlib.asynccontextmanager
     async def dial(address: str) -> AsyncIterator[MessageStream]:
-        host, port = parse_address(address)
         try:
+            host, port = parse_address(address)
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 socket = await anyio.connect_tcp(host, port)
-        except OSError as error:
+        except (OSError, ValueError) as error:
             raise StreamClosedError(f"not connected: {error}") from error
         async with socket:
             yield _message_stream(socket, message_type)
