Ignore a stored crash without a time

A row of the stored crashes by another writer whose time is not a number was recorded with an age that is not a number, never expired, and counted against the job that it names. The two new cases of test_row_that_cannot_be_read_is_left_alone failed before.

--- a/persimmoncrank/coordination/dispatch/_crash_store.py
+++ b/persimmoncrank/coordination/dispatch/_crash_store.py
@@ -92,7 +92,7 @@
     recent = 0
     for row in rows:
         stored = try_decode_message(row.value, _StoredCrash, name=row.key)
-        if stored is None:
+        if stored is None or not math.isfinite(stored.at_unix_s):
             continue
         age_s = max(now_unix_s - stored.at_unix_s, 0.0)
         if age_s > CRASH_RETENTION_S:
--- a/persimmoncrank/tests/test_crash_store.py
+++ b/persimmoncrank/tests/test_crash_store.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import anyio
 import pytest
 
@@ -70,10 +72,18 @@
     assert all(crash.age_s >= 1.0 for crash in crashes)
 
 
-def test_row_that_cannot_be_read_is_left_alone() -> None:
+ODD_VALUES = {
+    "not a message": b"\xc1",
+    "no time": encode_message(_StoredCrash(crash=CRASH, at_unix_s=math.nan)),
+    "endless time": encode_message(_StoredCrash(crash=CRASH, at_unix_s=math.inf)),
+}
+
+
+@pytest.mark.parametrize("value", ODD_VALUES.values(), ids=ODD_VALUES)
+def test_row_that_cannot_be_read_is_left_alone(value: bytes) -> None:
     async def main() -> None:
         platform = MemoryPlatform()
-        write = Write(key="crashes/other", value=b"\xc1", expected_version=None)
+        write = Write(key="crashes/other", value=value, expected_version=None)
         await platform.transact(Transaction(writes=(write,)))
         assert await load(platform) == []
         assert "crashes/other" in platform._rows
