Tell only entries without a copy which other entries there are

Replies between entries named all entries, 3.5 kB at 60 of them, eight times a second to each entry that the store turns away.

--- a/persimmoncrank/coordination/configuration/_peer_copies.py
+++ b/persimmoncrank/coordination/configuration/_peer_copies.py
@@ -66,7 +66,7 @@
         version=replica.version,
         age_s=replica.age_s(now_s=anyio.current_time()),
         rows=tuple(replica.rows.values()) if is_newer else None,
-        entries=ports.entries(),
+        entries=() if request.known_version >= 0 else ports.entries(),
     )
     await stream.send(reply)
 
@@ -111,7 +111,8 @@
         log.debug("config: peer does not answer address=%s cause=%s", address, error)
     if reply is not None:
         _apply_reply(reply, address, replica)
-        ports.on_reply(reply.entries)
+        if reply.entries:
+            ports.on_reply(reply.entries)
 
 
 def _apply_reply(reply: CopyReply, address: str, replica: TableReplica) -> None:
--- a/persimmoncrank/protocol/_peers.py
+++ b/persimmoncrank/protocol/_peers.py
@@ -16,7 +16,7 @@
     """Asks an entry for its copy of the operator's table.
 
     ``entry`` is the sender. The rows are sent only if they are newer than ``known_version`` and
-    differ from those with ``known_digest``.
+    differ from those with ``known_digest``. A negative version means that the sender has no copy.
     """
 
     entry: EntryAddress
@@ -28,7 +28,8 @@
     """An entry's copy of the operator's table.
 
     ``version`` is the store's version of it, negative if there is none. ``age_s`` is the time since
-    the store confirmed it. ``entries`` are those that the sender knows.
+    the store confirmed it. ``entries`` are those that the sender knows; only an entry without a
+    copy is told of them.
     """
 
     version: int
