--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -16,6 +16,12 @@
     choose_for_trial,
 )
 from persimmoncrank.coordination.dispatch._crash_answers import crash_answer, untried_cause
+from persimmoncrank.coordination.dispatch._job_checks import (
+    RETRY_AFTER_MS,
+    admission_error,
+    describe_shortage,
+    is_unservable,
+)
 from persimmoncrank.coordination.dispatch._routing import Routing
 from persimmoncrank.coordination.dispatch._worker_choice import (
     ChooseWorker,
@@ -29,7 +35,6 @@
     JobTask,
     TaskState,
     critical_path_length_s,
-    find_invalid_step,
 )
 from persimmoncrank.protocol import (
     EntryAddress,
@@ -57,14 +62,10 @@
 log = logging.getLogger(__name__)
 
 CHECK_INTERVAL_S = 0.05
-RETRY_AFTER_MS = 1_000
 # A probe may wait this long at a full worker, where a task of high priority gets the next room.
 PROBE_WAIT_S = 0.04
 PROBE_PAUSE_S = 1.0  # after a worker has refused a probe
 MAX_UNPLACED_STEPS = 8  # per pass; bounds its cost when most tasks wait for certain workers
-LEAVING_ESTIMATE_FACTOR = 2.0  # allows for slow workers and for errors of the estimates
-# Share of a job's objective; an agent whose stream broke reconnects within that time.
-NO_WORKER_TIMEOUT_SHARE = 0.25
 
 
 class Dispatcher:
@@ -158,7 +159,7 @@
             answer = crash_answer(self.crashes, job.job_id)
             if answer is not None:
                 return self._answer_on_arrival(job, answer)
-            error = self._admission_error(job)
+            error = admission_error(job, leave_deadline_s=self._leave_deadline_s)
             if error is not None:
                 log.info("entry: job refused job=%s cause=%s", job.job_id, error.message)
                 self.counters.jobs_refused[error.kind] += 1
@@ -182,27 +183,6 @@
         log.info("entry: job failed on arrival job=%s cause=%s", job.job_id, cause)
         return answer
 
-    def _admission_error(self, job: WorkerJob) -> ServiceError | None:
-        """Return why a job cannot be admitted, or None."""
-        invalid = find_invalid_step(job.steps)
-        if invalid is not None:
-            return refusal(ErrorKind.INVALID_REQUEST, f"job {job.job_id}: {invalid}")
-        if self._leave_deadline_s is not None and not self._ends_before(
-            job, self._leave_deadline_s
-        ):
-            message = "the entry is leaving"
-            return refusal(ErrorKind.SHUTTING_DOWN, message, retry_after_ms=RETRY_AFTER_MS)
-        if job.unsupported:
-            message = f"not served here: {', '.join(job.unsupported)}"
-            return refusal(ErrorKind.UNSUPPORTED, message)
-        return None
-
-    @staticmethod
-    def _ends_before(job: WorkerJob, until_s: float) -> bool:
-        """Return whether a job that arrives now should end in time, even on slow workers."""
-        critical_path_s = critical_path_length_s(job.steps, [step.estimate_s for step in job.steps])
-        return anyio.current_time() + LEAVING_ESTIMATE_FACTOR * critical_path_s < until_s
-
     def cancel(self, job_id: str) -> bool:
         """Cancel a job; return False if it is not running at this entry."""
         run = self.jobs.get(job_id)
@@ -508,7 +488,9 @@
                 self._abort(run, cause)
                 return
         if not run.is_abandoned:
-            if run.may_have_started or not self._is_unservable(run, now_s):
+            if run.may_have_started or not is_unservable(
+                run, self._has_eligible_worker, now_s=now_s
+            ):
                 return
             run.is_abandoned = True
             self.pending = [task for task in self.pending if task.job is not run]
@@ -518,30 +500,10 @@
         if run.may_have_started:
             self._abort(run, "the job started too late")
             return
-        message = f"{self._describe_shortage(run)}; not run"
+        message = f"{describe_shortage(run, self._has_eligible_worker)}; not run"
         error = refusal(ErrorKind.OVERLOADED, message, retry_after_ms=RETRY_AFTER_MS)
         self._finish(run, WorkerJobAnswer(error=error))
 
-    def _is_unservable(self, run: JobRun, now_s: float) -> bool:
-        """Return whether a waiting job can no longer end in time or has no eligible worker."""
-        if now_s >= run.useful_until_s - run.critical_path_s:
-            return True
-        if now_s < run.arrived_at_s + NO_WORKER_TIMEOUT_SHARE * run.objective_s:
-            return False
-        return not run.open_orders and not self._has_workers_for_pending(run)
-
-    def _has_workers_for_pending(self, run: JobRun) -> bool:
-        """Return whether each pending task has an eligible worker."""
-        tasks = {id(task.step): task for task in run.tasks if task.state is TaskState.PENDING}
-        return all(self._has_eligible_worker(task) for task in tasks.values())
-
-    def _describe_shortage(self, run: JobRun) -> str:
-        return (
-            "no worker had room in time"
-            if self._has_workers_for_pending(run)
-            else "no worker may run it"
-        )
-
     def _has_eligible_worker(self, task: JobTask) -> bool:
         """Return whether a connected worker may run a task."""
         return any(
