--- a/persimmoncrank/coordination/configuration/_peer_copies.py
+++ b/persimmoncrank/coordination/configuration/_peer_copies.py
@@ -127,4 +127,4 @@
             min(reply.age_s, 1e6) * 1000,
         )
         replica.replace(reply.rows, reply.version)
-    replica.confirm(at_s=anyio.current_time() - reply.age_s)
+    replica.confirm(at_s=anyio.current_time() - max(reply.age_s, 0.0))
--- a/persimmoncrank/state/_table_replica.py
+++ b/persimmoncrank/state/_table_replica.py
@@ -54,7 +54,10 @@
         self.confirmed_at_s = max(self.confirmed_at_s, at_s)
 
     def replace(self, rows: Iterable[Row], version: int) -> bool:
-        """Take over a whole copy of the table; return False if it is older than this one."""
+        """Take over a whole copy of the table; return False if it is older than this one.
+
+        No row may be newer than ``version``.
+        """
         if version < self.version:
             return False
         was_loaded = self.is_loaded
