Do not end a run while the next incarnation of its worker may run it

A worker that crashes and is back at once under the id that it had accepts a start that was on its way to the old incarnation. The heartbeat of the new incarnation ended the runner of the old one, which reported the run as crashed, so the entry started the task elsewhere while it still ran.

A run that the ended incarnation has never listed is now reported once the worker at the address has confirmed a stop and no longer lists the run. A confirmed stop also keeps a later start of the run from being accepted. Another id or a refused connection shows at once that it is not there. If nothing answers, the longest lease that the worker grants bounds the wait.

--- a/persimmoncrank/bench/_worker_world.py
+++ b/persimmoncrank/bench/_worker_world.py
@@ -48,6 +48,7 @@
 
 log = logging.getLogger(__name__)
 
+LEASE_LIMIT_S = 1.0  # to which a worker shortens leases
 LEASE_S = 0.585  # 0.45 of RESEND_S, as in ``commands/_dispatch_role.py``
 RESEND_S = 1.3
 HEARTBEAT_S = 1.5
@@ -369,7 +370,10 @@
                 first_fence=incarnation_number,
             ),
             times=LeaseTimes(
-                entry_lease_s=LEASE_S, worker_lease_s=LEASE_S, heartbeat_interval_s=HEARTBEAT_S
+                entry_lease_s=LEASE_S,
+                worker_lease_s=LEASE_S,
+                worker_lease_limit_s=LEASE_LIMIT_S,
+                heartbeat_interval_s=HEARTBEAT_S,
             ),
         )
         agent.wait_times = _RecordingHistogram(times_s=self.waits_s)
--- a/persimmoncrank/commands/_dispatch_agent.py
+++ b/persimmoncrank/commands/_dispatch_agent.py
@@ -66,6 +66,7 @@
         times=LeaseTimes(
             entry_lease_s=lease,
             worker_lease_s=lease,
+            worker_lease_limit_s=settings.worker_lease_limit_s,
             heartbeat_interval_s=settings.worker_heartbeat_s,
         ),
     )
--- a/persimmoncrank/coordination/execution/_worker_agent.py
+++ b/persimmoncrank/coordination/execution/_worker_agent.py
@@ -60,11 +60,13 @@
 class LeaseTimes:
     """The durations of an entry's lease at an agent and of an agent's lease at its worker.
 
-    ``heartbeat_interval_s`` is the time between two heartbeats of the worker.
+    A worker shortens leases to ``worker_lease_limit_s``. ``heartbeat_interval_s`` is the time
+    between two of its heartbeats.
     """
 
     entry_lease_s: float
     worker_lease_s: float
+    worker_lease_limit_s: float
     heartbeat_interval_s: float
 
 
@@ -185,6 +187,7 @@
                 worker=heartbeat,
                 port=self._ports.worker_port(heartbeat),
                 lease_s=self._times.worker_lease_s,
+                lease_limit_s=self._times.worker_lease_limit_s,
                 fence=self._ports.first_fence,
                 events=RunnerCallbacks(
                     started=self._on_started,
--- a/persimmoncrank/coordination/execution/_worker_runner.py
+++ b/persimmoncrank/coordination/execution/_worker_runner.py
@@ -16,7 +16,18 @@
 import anyio
 from result import Err, Ok, Result
 
+from persimmoncrank.coordination.execution._worker_calls import (
+    CALL_TIMEOUT_S,
+    FENCE_STEP,
+    RETRY_DELAY_S,
+    call_within,
+)
 from persimmoncrank.coordination.execution._worker_clock import WorkerClock
+from persimmoncrank.coordination.execution._worker_crash import (
+    describe_crashed_run,
+    is_sent_after,
+    stop_at_next_incarnation,
+)
 from persimmoncrank.protocol import (
     CrashedRun,
     Demand,
@@ -41,27 +52,21 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable
-
     from anyio.abc import TaskGroup
 
     from persimmoncrank.protocol import WorkerHeartbeat, WorkerPort
 
 log = logging.getLogger(__name__)
 
-CALL_TIMEOUT_S = 0.1
 LIST_WAIT_S = 0.15  # long poll: the worker answers earlier if a run has ended
-RETRY_DELAY_S = 0.02
 CHECK_INTERVAL_S = 0.05
 MIN_CHECK_INTERVAL_S = 0.001
 IDLE_CHECK_INTERVAL_S = 0.25
-FENCE_STEP = 1_000_000  # 1000 s, since an agent's first token is the Unix time in ms
 MAX_START_ATTEMPTS = 4
 MISSING_LISTS_BEFORE_LOST = 3
 CLOCK_DRIFT_FACTOR = 1.02  # a worker's clock may run up to 2% slow
 LEASE_EXPIRY_MARGIN_S = 0.05
 UNRESPONSIVE_AFTER_S = 2 * (LIST_WAIT_S + CALL_TIMEOUT_S)
-RECENT_START_S = 0.1  # most tasks that crash their worker do so while they start
 
 _OUTCOMES = {
     RunEndKind.DONE: OrderOutcome.DONE,
@@ -107,11 +112,15 @@
         worker: WorkerHeartbeat,
         port: WorkerPort,
         lease_s: float,
+        lease_limit_s: float,
         fence: int,
         events: RunnerCallbacks,
         health: WorkerHealth | None = None,
     ) -> None:
-        """Create a runner; it starts no run before the worker has listed its runs."""
+        """Create a runner; it starts no run before the worker has listed its runs.
+
+        Leases last ``lease_s``; a worker shortens a longer one to ``lease_limit_s``.
+        """
         self.worker = worker
         self.ledger = RunLedger(capacity=worker.capacity)
         self.health = health or WorkerHealth()
@@ -119,6 +128,7 @@
         self.is_terminated = False
         self._port = port
         self._lease_s = lease_s
+        self._lease_limit_s = lease_limit_s
         self._events = events
         self._clock = WorkerClock()
         self._seen_cursor = 0
@@ -131,11 +141,14 @@
         self._lease_extended_at_s = 0.0
         self._queue_changed = anyio.Event()
         self._group: TaskGroup | None = None
+        self._doubtful_runs: list[tuple[Run, OrderOutcome, str]] = []
 
     @property
     def is_ready(self) -> bool:
         """Whether the worker has listed its runs within ``UNRESPONSIVE_AFTER_S``."""
-        return self._is_listed and self._now() - self._listed_at_s < UNRESPONSIVE_AFTER_S
+        if self.is_terminated or not self._is_listed:
+            return False
+        return self._now() - self._listed_at_s < UNRESPONSIVE_AFTER_S
 
     @property
     def free(self) -> Demand:
@@ -153,6 +166,10 @@
             group.start_soon(self._run_queue_checks)
             await self._run_renewals()
             group.cancel_scope.cancel()
+        self._group = None
+        async with anyio.create_task_group() as group:
+            for run, outcome, cause in self._doubtful_runs:
+                group.start_soon(self._settle_doubtful_run, run, outcome, cause)
 
     def terminate(
         self, cause: str, *, is_planned: bool = False, down_since_s: float | None = None
@@ -160,17 +177,18 @@
         """End all runs, since this incarnation of the worker no longer exists.
 
         Unless the worker was draining or its end was planned, it has crashed. Starts that are still
-        being sent to a worker that is down have had no effect.
+        being sent to a worker that is down have had no effect on this incarnation. The end of a run
+        that this incarnation has not listed is reported once it is not active on the next one.
         """
         if self.is_terminated:
             return
         self.is_terminated = True
         has_crashed = not (is_planned or self.worker.is_draining)
         active = list(self.ledger.active.values())
+        unsent: list[Run] = []
         if down_since_s is not None:
-            for run in [run for run in active if _is_sent_after(run, down_since_s)]:
-                active.remove(run)
-                self._end_run(run, OrderOutcome.NOT_STARTED, cause)
+            unsent = [run for run in active if is_sent_after(run, down_since_s)]
+            active = [run for run in active if run not in unsent]
         log.warning(
             "agent: worker incarnation ended worker=%s crashed=%s runs=%d lost_before=%d cause=%s",
             self.worker.worker,
@@ -184,11 +202,44 @@
             self._report_crash(active, crashed_at_s)
         for run in list(self.ledger.queued):
             self._end_queued(run, cause)
+        outcome = OrderOutcome.CRASHED if has_crashed else OrderOutcome.LOST
+        self._doubtful_runs = [(run, OrderOutcome.NOT_STARTED, cause) for run in unsent]
         for run in active:
-            self._end_run(run, OrderOutcome.CRASHED if has_crashed else OrderOutcome.LOST, cause)
+            if run.is_listed:
+                self._end_run(run, outcome, cause)
+            else:
+                self._doubtful_runs.append((run, outcome, cause))
         if self._group is not None:
             self._group.cancel_scope.cancel()
 
+    def _report_crash(self, active: list[Run], crashed_at_s: float) -> None:
+        """Report the runs that were or may have been active when the worker crashed."""
+
+        def describe(run: Run, *, is_explained: bool) -> CrashedRun:
+            return describe_crashed_run(
+                run,
+                crashed_at_s=crashed_at_s,
+                lease_until_s=self._lease_extended_at_s + self._lease_s,
+                is_explained=is_explained,
+            )
+
+        crashed = (
+            *(describe(run, is_explained=True) for run in active),
+            *(describe(run, is_explained=False) for run in self._unexplained_runs),
+        )
+        if crashed:
+            self._events.crashed(crashed)
+
+    async def _settle_doubtful_run(self, run: Run, outcome: OrderOutcome, cause: str) -> None:
+        """End a run once it is not active on the worker's next incarnation."""
+        limit_s = CALL_TIMEOUT_S + _lease_expires_after_s(self._lease_limit_s)
+        with anyio.move_on_at(self._lease_extended_at_s + limit_s):
+            kind = await stop_at_next_incarnation(run.ref, port=self._port, fence=self.fence)
+            if kind is not None:
+                outcome = _OUTCOMES[kind] if kind is RunEndKind.DONE else OrderOutcome.LOST
+                cause = f"the worker's next incarnation received the start, {kind.value}"
+        self._end_run(run, outcome, cause)
+
     def is_delayed(self, heartbeat: WorkerHeartbeat, *, limit_s: float) -> bool:
         """Return whether the worker sent a heartbeat more than ``limit_s`` ago."""
         is_same_clock = heartbeat.incarnation == self.worker.incarnation and self._clock.is_known
@@ -198,6 +249,8 @@
 
     def update_worker(self, heartbeat: WorkerHeartbeat) -> None:
         """Apply a heartbeat of the same incarnation, whose capacity may have changed."""
+        if self.is_terminated:
+            return
         self.worker = heartbeat
         if heartbeat.capacity == self.ledger.capacity:
             return
@@ -216,26 +269,6 @@
         self.start_queued()
         self._events.changed()
 
-    def _report_crash(self, active: list[Run], crashed_at_s: float) -> None:
-        """Report the runs that were or may have been active when the worker crashed."""
-        recent_s = crashed_at_s - RECENT_START_S
-        is_in_lease = crashed_at_s <= self._lease_extended_at_s + self._lease_s
-
-        def crashed_run(run: Run, *, is_confirmed: bool) -> CrashedRun:
-            return CrashedRun(
-                ref=run.order.ref,
-                kind=run.order.kind,
-                is_recent=run.ordered_at_s >= recent_s,
-                is_confirmed=is_confirmed,
-            )
-
-        crashed = (
-            *(crashed_run(run, is_confirmed=run.is_confirmed and is_in_lease) for run in active),
-            *(crashed_run(run, is_confirmed=False) for run in self._unexplained_runs),
-        )
-        if crashed:
-            self._events.crashed(crashed)
-
     def submit(self, run: Run) -> None:
         """Queue a run, then start the queued runs that fit."""
         self.ledger.add(run)
@@ -294,7 +327,7 @@
         order = StartRun(
             run=run.ref, payload=run.order.payload, until_ms=until_ms, fence=self.fence
         )
-        return await _within(CALL_TIMEOUT_S, self._port.start(order))
+        return await call_within(CALL_TIMEOUT_S, self._port.start(order))
 
     def _handle_start_reply(
         self, run: Run, answer: Result[StartReply, WorkerFault]
@@ -346,7 +379,7 @@
     async def _stop(self, run: Run) -> None:
         """Send a stop until the worker confirms it; the run's end appears in a later list."""
         while self.ledger.active.get(run.ref) is run:
-            answer = await _within(CALL_TIMEOUT_S, self._port.stop(run.ref, self.fence))
+            answer = await call_within(CALL_TIMEOUT_S, self._port.stop(run.ref, self.fence))
             match answer:
                 case Ok(clock_ms):
                     self._clock.update(clock_ms, now_s=self._now())
@@ -390,7 +423,7 @@
         self._list_request_count += 1
         request = _ListRequest(number=self._list_request_count, sent_at_s=self._now())
         call = self._port.renew(self._renewal(wait_s))
-        answer = await _within(LIST_WAIT_S + CALL_TIMEOUT_S, call)
+        answer = await call_within(LIST_WAIT_S + CALL_TIMEOUT_S, call)
         if isinstance(answer, Ok):
             self._handle_list(answer.unwrap(), request)
         return answer
@@ -430,8 +463,8 @@
                 fault.message,
             )
             self._events.changed()
-        lease_expires_after_s = self._lease_s * CLOCK_DRIFT_FACTOR + LEASE_EXPIRY_MARGIN_S
-        if self.ledger.active and self._now() - self._lease_extended_at_s > lease_expires_after_s:
+        unextended_s = self._now() - self._lease_extended_at_s
+        if self.ledger.active and unextended_s > _lease_expires_after_s(self._lease_s):
             self._mark_all_lost("the worker's lease has expired")
         return True
 
@@ -512,7 +545,7 @@
 
     async def _stop_unknown_run(self, ref: RunRef) -> None:
         while ref in self.ledger.unknown_runs:
-            await _within(CALL_TIMEOUT_S, self._port.stop(ref, self.fence))
+            await call_within(CALL_TIMEOUT_S, self._port.stop(ref, self.fence))
             await anyio.sleep(CHECK_INTERVAL_S)
 
     def _reconcile_run(
@@ -520,6 +553,7 @@
     ) -> None:
         """Update an active run from a list of runs; end it if it cannot be active any more."""
         if percent is not None:
+            run.is_listed = True
             self._missing_counts.pop(run.ref, None)
             if run.state is not RunState.RUNNING and not run.is_stopping:
                 self._mark_running(run)
@@ -577,23 +611,11 @@
         return min(max(first_deadline_s - self._now(), MIN_CHECK_INTERVAL_S), CHECK_INTERVAL_S)
 
 
-def _is_sent_after(run: Run, down_since_s: float) -> bool:
-    """Return whether a start is still on its way to a worker that was down before.
-
-    A start that was answered, or whose connection broke, may have been what ended the worker: the
-    failure before it may have been that of a single connection.
-    """
-    return run.ordered_at_s > down_since_s and run.state is RunState.ORDERED
+def _lease_expires_after_s(lease_s: float) -> float:
+    """Return how long after its extension a lease has certainly expired on the worker's clock."""
+    return lease_s * CLOCK_DRIFT_FACTOR + LEASE_EXPIRY_MARGIN_S
 
 
 def _log_args(run: Run) -> tuple[str, int, int, int]:
     ref = run.order.ref
     return (ref.job_id, ref.step, ref.index, run.number)
-
-
-async def _within(timeout_s: float, call: Awaitable[Result]) -> Result:
-    """Return the answer of a call to the worker, or a fault after ``timeout_s``."""
-    with anyio.move_on_after(timeout_s):
-        return await call
-    fault = WorkerFault(kind=WorkerFaultKind.NO_ANSWER, message=f"no answer within {timeout_s:g} s")
-    return Err(fault)
--- a/persimmoncrank/state/_run_ledger.py
+++ b/persimmoncrank/state/_run_ledger.py
@@ -32,7 +32,8 @@
     """One order of an entry. From ORDERED on it occupies resources until its end is certain.
 
     ``start_deadline_ms`` is the time on the worker's clock up to which a start that was sent may be
-    carried out. ``is_stopping`` is set once the run is no longer needed. ``stop_confirmed_list`` is
+    carried out. ``is_listed`` is set once the worker has listed the run as running, and
+    ``is_stopping`` once it is no longer needed. ``stop_confirmed_list`` is
     the number of the last list of runs requested before the worker acknowledged the stop; only a
     list requested later shows the effect of the stop.
     """
@@ -45,6 +46,7 @@
     ordered_at_s: float = 0.0
     started_at_s: float = 0.0
     start_deadline_ms: int = 0
+    is_listed: bool = False
     is_stopping: bool = False
     stop_cause: str = ""
     stop_confirmed_list: int | None = None
