--- a/persimmoncrank/commands/_dispatch_role.py
+++ b/persimmoncrank/commands/_dispatch_role.py
@@ -45,17 +45,16 @@
             group.start_soon(handler.run)
             group.start_soon(_watch_signals, stop)
             await serve(stop)
-            group.cancel_scope.cancel()
-        handler.flush()
+            handler.flush()
+            sys.stdout.flush()
+            # Closing the event loop would wait for threads and for tasks that ignore cancellation.
+            os._exit(0)
 
     try:
         anyio.run(main, backend_options={"use_uvloop": True})
     finally:
         handler.flush()
         sys.stdout.flush()
-    # Exits without waiting for gRPC threads, which may hold connections to peers that do not
-    # answer.
-    os._exit(0)
 
 
 async def _watch_signals(stop: anyio.Event) -> None:
