Refuse a wait_ms of more than 4,300 digits instead of failing

A caller who asked for a job with such a wait_ms got 500: the check for digits passed, and int() raises ValueError for so long a text. The pattern now limits the digits, as for X-Deadline-Ms.

test_wait_that_is_not_a_number_of_milliseconds_is_refused: the two cases with 4,301 digits failed before; the other ten passed before and after.

--- a/persimmoncrank/tests/test_entry_http.py
+++ b/persimmoncrank/tests/test_entry_http.py
@@ -8,6 +8,7 @@
 import anyio
 import httpcore
 import msgspec
+import pytest
 from anyio import to_thread
 
 from persimmoncrank.commands import plan
@@ -110,6 +111,18 @@
     run_with_api(test)
 
 
+@pytest.mark.parametrize("wait_ms", ["9" * 4301, "60001", "-1", "1.5", "x", ""])
+@pytest.mark.parametrize("method", ["GET", "DELETE"])
+def test_wait_that_is_not_a_number_of_milliseconds_is_refused(method: str, wait_ms: str) -> None:
+    async def test(api: Api) -> None:
+        path = f"/v1/jobs/{await api.issue_id()}?wait_ms={wait_ms}"
+        status, body = await api.call(method, path)
+        assert status == 400
+        assert body["error"]["field"] == "wait_ms"
+
+    run_with_api(test)
+
+
 def test_job_answer_is_complete_and_repeatable() -> None:
     async def test(api: Api) -> None:
         submission_id = await api.issue_id()
--- a/persimmoncrank/transport/_entry_http.py
+++ b/persimmoncrank/transport/_entry_http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import re
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -47,6 +48,7 @@
 
 IDEMPOTENCY_HEADER = "Idempotency-Key"
 MAX_KEY_CHARS = 200
+WAIT_MS = re.compile(r"[0-9]{1,9}")
 _ACCEPTED = 202
 
 
@@ -175,7 +177,7 @@
     async def _lookup(self, request: Request, *, is_cancel: bool) -> Response:
         submission_id = request.path_params["submission_id"]
         wait_text = request.query_params.get("wait_ms", "0")
-        if not wait_text.isascii() or not wait_text.isdigit() or int(wait_text) > MAX_DEADLINE_MS:
+        if not WAIT_MS.fullmatch(wait_text) or int(wait_text) > MAX_DEADLINE_MS:
             message = f"wait_ms must be an integer from 0 to {MAX_DEADLINE_MS}"
             return error_response(refusal(ErrorKind.INVALID_REQUEST, message, field="wait_ms"))
         wait_ms = int(wait_text) if not is_cancel else max(int(wait_text), MIN_CANCEL_WAIT_MS)
