Date a peer's confirmation by when it was asked for

Operators saw too young a configuration in config_age_seconds and config_age_ms: an entry that the store does not answer took over a peer's age as of the arrival of the reply, so each exchange lost the time that the reply had taken. Entries that confirm each other without the store grew older more slowly than the clock. The confirmation now counts from the request, which is never too late.

test_entries_without_the_store_confirm_each_other_as_if_it_had_answered failed with 0.1 s for each hop and with 1 ms before.

--- a/persimmoncrank/coordination/configuration/_peer_copies.py
+++ b/persimmoncrank/coordination/configuration/_peer_copies.py
@@ -102,6 +102,7 @@
 ) -> None:
     request = CopyRequest(entry=entry, known_version=replica.version, known_digest=replica.digest)
     reply: CopyReply | None = None
+    asked_at_s = anyio.current_time()
     try:
         with anyio.move_on_after(CALL_TIMEOUT_S):
             async with ports.dial(address) as stream:
@@ -110,12 +111,15 @@
     except StreamClosedError as error:
         log.debug("config: peer does not answer address=%s cause=%s", address, error)
     if reply is not None:
-        _apply_reply(reply, address, replica)
+        _apply_reply(reply, address, replica, asked_at_s=asked_at_s)
         if reply.entries:
             ports.on_reply(reply.entries)
 
 
-def _apply_reply(reply: CopyReply, address: str, replica: TableReplica) -> None:
+def _apply_reply(
+    reply: CopyReply, address: str, replica: TableReplica, *, asked_at_s: float
+) -> None:
+    """Take over a newer copy, and a confirmation that is as old as the request or older."""
     if reply.version < 0 or reply.version < replica.version:
         return
     if reply.rows is not None and reply.version > replica.version:
@@ -127,4 +131,4 @@
             min(reply.age_s, 1e6) * 1000,
         )
         replica.replace(reply.rows, reply.version)
-    replica.confirm(at_s=anyio.current_time() - max(reply.age_s, 0.0))
+    replica.confirm(at_s=asked_at_s - max(reply.age_s, 0.0))
--- a/persimmoncrank/tests/test_peer_copies.py
+++ b/persimmoncrank/tests/test_peer_copies.py
@@ -140,6 +140,7 @@
     running: list[Entry] = field(default_factory=list)
     unreachable: set[str] = field(default_factory=set)
     request_count: int = 0
+    hop_s: float = HOP_S
 
     def start(self) -> Entry:
         """Start the next entry."""
@@ -186,7 +187,7 @@
     async def dial(self, address: str) -> AsyncIterator[MessageStream]:
         """Open a stream to an entry."""
         self.request_count += 1
-        await anyio.sleep(HOP_S)
+        await anyio.sleep(self.hop_s)
         number = int(parse_address(address)[0].removeprefix("p"))
         if address in self.unreachable or number >= len(self.running):
             await anyio.sleep(self.rng.choice([0.0, 10.0]))
@@ -194,13 +195,18 @@
         there, back = (anyio.create_memory_object_stream[Any](1) for _ in range(2))
         entry = self.running[number]
         async with anyio.create_task_group() as group:
-            stream = MessageStream(send=back[0].send, receive=there[1].receive)
+
+            async def send_back(reply: Any) -> None:
+                await anyio.sleep(self.hop_s)
+                await back[0].send(reply)
+
+            stream = MessageStream(send=send_back, receive=there[1].receive)
             group.start_soon(self._serve, stream, entry)
             yield MessageStream(send=there[0].send, receive=back[1].receive)
             group.cancel_scope.cancel()
 
     async def _serve(self, stream: MessageStream, entry: Entry) -> None:
-        await anyio.sleep(HOP_S)
+        await anyio.sleep(self.hop_s)
         await serve_copy(stream, replica=entry.replica, ports=self.ports(entry))
 
     async def wait_until_in_force(self, within_s: float) -> None:
@@ -313,6 +319,20 @@
     run_entries(scenario, count=3, seed=1)
 
 
+@pytest.mark.parametrize("hop_s", [HOP_S, 0.1])
+def test_entries_without_the_store_confirm_each_other_as_if_it_had_answered(hop_s: float) -> None:
+    async def scenario(entries: Entries) -> None:
+        entries.store.set_modes(range(5), Mode.BUSY)
+        entries.hop_s = hop_s
+        cut_off_at_s = anyio.current_time()
+        await anyio.sleep(60.0)
+        now_s = anyio.current_time()
+        for entry in entries.running:
+            assert entry.replica.age_s(now_s=now_s) >= now_s - cut_off_at_s
+
+    run_entries(scenario, count=5, seed=1)
+
+
 @pytest.mark.parametrize(("mode", "limit_per_s"), [(Mode.OPEN, 0.1), (Mode.BUSY, 8.0)])
 def test_requests_to_peers_are_limited(mode: Mode, limit_per_s: float) -> None:
     async def scenario(entries: Entries) -> None:
