Take only an answer to a watch for the newest state of the store

Callers of an entry that had restarted while the store's reads were behind got an older configuration than its neighbours had: the entry took the full read for the newest state and asked nobody. Beside a store that was put back to an older state, entries kept the newer configuration, as they must, but reported a fresh age, so nothing told the operator that no change would arrive.

An entry follows the store only while an answer to a watch was as new as its copy. An answer that is older than the copy confirms nothing, so config_age_seconds rises, and a line says that the store is behind. Where the history is lost again and again, reads are spaced; before they followed each other without a pause.

test_restarted_entry_takes_a_read_that_is_behind_for_the_newest_state and test_store_that_was_put_back_to_an_older_state_confirms_a_newer_copy failed before.

--- a/persimmoncrank/commands/_dispatch_entry.py
+++ b/persimmoncrank/commands/_dispatch_entry.py
@@ -140,7 +140,7 @@
         await follow_peers(
             entry=entry,
             replica=replica,
-            is_following_store=lambda: follower.is_reachable,
+            is_following_store=lambda: follower.is_following,
             ports=peers,
             rng=random.Random(entry.incarnation),
         )
--- a/persimmoncrank/coordination/configuration/_peer_copies.py
+++ b/persimmoncrank/coordination/configuration/_peer_copies.py
@@ -1,6 +1,6 @@
 """Copies of the operator's table from other entries, for an entry that the store does not answer.
 
-An entry whose copy is not confirmed by the store asks a few other entries a few times a second, and
+An entry that does not follow the store asks a few other entries a few times a second, and
 takes over what is newer. In this way a change reaches all entries that are connected to each other
 as soon as one of them has it, also in a partial outage of the store. An entry that follows the
 store sends nothing, so peers cost nothing in normal operation.
@@ -35,7 +35,6 @@
 POLL_INTERVAL_S = 0.25
 PEERS_PER_POLL = 2
 CALL_TIMEOUT_S = 0.5
-CONFIRMED_WITHIN_S = 1.25  # an idle watch of the store is answered once a second
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -79,12 +78,11 @@
     ports: PeerPorts,
     rng: random.Random,
 ) -> None:
-    """Ask peers for newer copies while the store does not confirm the own one."""
+    """Ask peers for newer copies while the entry does not follow the store."""
     offsets = itertools.count(rng.randrange(1_000_000), PEERS_PER_POLL)
     while True:
         await anyio.sleep(POLL_INTERVAL_S)
-        is_confirmed = replica.age_s(now_s=anyio.current_time()) <= CONFIRMED_WITHIN_S
-        if is_confirmed and is_following_store():
+        if is_following_store():
             continue
         async with anyio.create_task_group() as group:
             for address in choose_peers(ports.addresses(), next(offsets)):
--- a/persimmoncrank/coordination/configuration/_table_follower.py
+++ b/persimmoncrank/coordination/configuration/_table_follower.py
@@ -39,7 +39,11 @@
 
 
 class TableFollower:
-    """Keeps a copy of a table up to date from the store."""
+    """Keeps a copy of a table up to date from the store.
+
+    ``is_following`` is set while the store's last answer to a watch was as new as the copy. A full
+    read alone does not show that: the store may be behind.
+    """
 
     def __init__(
         self,
@@ -51,11 +55,13 @@
     ) -> None:
         """Create a follower that has not read the table yet."""
         self.is_reachable = False
+        self.is_following = False
         self._table = table
         self._feed = feed
         self._replica = replica
         self._watch_timeout_s = watch_timeout_s
         self._must_read = True
+        self._is_behind = False
         self._retry_delay_s = INITIAL_RETRY_DELAY_S
         self._patience_s = MIN_PATIENCE_S
 
@@ -110,26 +116,27 @@
         self._patience_s = min(max(2 * answer_s, MIN_PATIENCE_S), MAX_PATIENCE_S)
 
     async def _apply(self, changes: RowChanges, *, confirmed_at_s: float) -> None:
-        if not self._must_read:
-            self._replica.apply(changes)
-        elif self._replica.replace(changes.rows, changes.version):
-            self._must_read = False
-        else:
-            log.warning(
-                "config: read is behind, repeating it table=%s read_version=%d version=%d",
-                self._table,
-                changes.version,
-                self._replica.version,
-            )
+        if changes.version < self._replica.version:
+            self._mark_behind(changes.version)
             await self._pause()
             return
-        self._retry_delay_s = INITIAL_RETRY_DELAY_S
+        if self._must_read:
+            self._replica.replace(changes.rows, changes.version)
+            self._must_read = False
+        else:
+            self._replica.apply(changes)
+            self._is_behind = False
+            self.is_following = True
+            self._retry_delay_s = INITIAL_RETRY_DELAY_S
         self._replica.confirm(at_s=confirmed_at_s)
 
     async def _handle_error(self, error: StoreError) -> None:
         if error.kind is StoreErrorKind.HISTORY_GONE and not self._must_read:
             log.info("config: change history not available, reading all rows table=%s", self._table)
             self._must_read = True
+            if not self.is_following:
+                await self._pause()
+            self.is_following = False
             return
         self._mark_unreachable(error.message)
         await self._pause()
@@ -145,7 +152,19 @@
                 "config: store reachable table=%s version=%d", self._table, self._replica.version
             )
 
+    def _mark_behind(self, answer_version: int) -> None:
+        self.is_following = False
+        if not self._is_behind:
+            self._is_behind = True
+            log.warning(
+                "config: store is behind the copy table=%s answer_version=%d version=%d",
+                self._table,
+                answer_version,
+                self._replica.version,
+            )
+
     def _mark_unreachable(self, cause: str) -> None:
+        self.is_following = False
         if self.is_reachable:
             self.is_reachable = False
             log.warning(
--- a/persimmoncrank/tests/test_peer_copies.py
+++ b/persimmoncrank/tests/test_peer_copies.py
@@ -57,8 +57,10 @@
     VERY_SLOW = "very slow"
     GONE = "history gone"
     BEHIND = "reads behind"
+    PUT_BACK = "put back to an older state"
 
 
+_VERSIONS_BEHIND = {Mode.BEHIND: 1, Mode.PUT_BACK: 1}
 _ANSWER_S = {Mode.SLOW: 60 * CALL_S, Mode.VERY_SLOW: VERY_SLOW_S}
 
 
@@ -97,7 +99,7 @@
             await anyio.sleep(_ANSWER_S.get(mode(), CALL_S))
             if mode() is Mode.BUSY:
                 return _error(StoreErrorKind.UNAVAILABLE)
-            return _rows(self.version - (1 if mode() is Mode.BEHIND else 0))
+            return _rows(self.version - _VERSIONS_BEHIND.get(mode(), 0))
 
         async def read(_table: str) -> Any:
             with anyio.move_on_after(CALL_TIMEOUT_S):
@@ -108,10 +110,13 @@
             if mode() in (Mode.GONE, Mode.BEHIND):
                 return _error(StoreErrorKind.HISTORY_GONE)
             with anyio.move_on_after(wait_s):
-                while self.version <= after and mode() in (Mode.OPEN, *_ANSWER_S):
+                while self.version - _VERSIONS_BEHIND.get(mode(), 0) <= after and (
+                    mode() in (Mode.OPEN, Mode.PUT_BACK, *_ANSWER_S)
+                ):
                     await self.changed.wait()
             found = await read(_table)
-            return found if self.version > after else _without_rows(found)
+            is_newer = self.version - _VERSIONS_BEHIND.get(mode(), 0) > after
+            return found if is_newer else _without_rows(found)
 
         return TableFeed(read=read, watch=watch)
 
@@ -173,7 +178,7 @@
             await follow_peers(
                 entry=own,
                 replica=replica,
-                is_following_store=lambda: follower.is_reachable,
+                is_following_store=lambda: follower.is_following,
                 ports=self.ports(entry),
                 rng=random.Random(self.rng.random()),
             )
@@ -344,6 +349,36 @@
     run_entries(scenario, count=3, seed=1)
 
 
+def test_restarted_entry_takes_a_read_that_is_behind_for_the_newest_state() -> None:
+    async def scenario(entries: Entries) -> None:
+        entries.store.put()
+        await entries.wait_until_in_force(IN_FORCE_WITHIN_S)
+        entries.store.set_modes(range(3, 4), Mode.BEHIND)
+        entries.start()
+        await entries.wait_until_in_force(IN_FORCE_WITHIN_S)
+
+    run_entries(scenario, count=3, seed=1)
+
+
+def test_store_that_was_put_back_to_an_older_state_confirms_a_newer_copy() -> None:
+    async def scenario(entries: Entries) -> None:
+        entries.store.put()
+        await entries.wait_until_in_force(IN_FORCE_WITHIN_S)
+        await anyio.sleep(1.0)
+        entries.store.set_modes(range(3), Mode.PUT_BACK)
+        await anyio.sleep(20.0)
+        for entry in entries.running:
+            assert entry.in_force == [1, 2]
+            assert entry.replica.age_s(now_s=anyio.current_time()) > 18.0
+        entries.store.put()
+        entries.store.put()
+        with anyio.fail_after(IN_FORCE_WITHIN_S):
+            while any(entry.in_force[-1] < entries.store.version - 1 for entry in entries.running):
+                await anyio.sleep(0.005)
+
+    run_entries(scenario, count=3, seed=1)
+
+
 @pytest.mark.parametrize("hop_s", [HOP_S, 0.1])
 def test_entries_without_the_store_confirm_each_other_as_if_it_had_answered(hop_s: float) -> None:
     async def scenario(entries: Entries) -> None:
