Split the runner of a worker: its calls and lease, decisions about runs, and crashes

Calls with their lease and token are in _worker_connection and _worker_lease, pure decisions in _run_decisions, what a crash means for runs in _worker_crash. Behaviour is unchanged; a test reads the time of the last extension from the lease now.

--- a/persimmoncrank/coordination/execution/__init__.py
+++ b/persimmoncrank/coordination/execution/__init__.py
@@ -7,6 +7,7 @@
 from persimmoncrank._lazy import lazy_exports
 
 if TYPE_CHECKING:
+    from persimmoncrank.coordination.execution._runner_callbacks import RunnerCallbacks
     from persimmoncrank.coordination.execution._task_runner import (
         REPLY_HOLD_S,
         BackendFailure,
@@ -19,7 +20,7 @@
         LeaseTimes,
         WorkerAgent,
     )
-    from persimmoncrank.coordination.execution._worker_runner import RunnerCallbacks, WorkerRunner
+    from persimmoncrank.coordination.execution._worker_runner import WorkerRunner
 
 __all__ = [
     "REPLY_HOLD_S",
@@ -40,7 +41,7 @@
     "CallBackend": "_task_runner",
     "LeaseTimes": "_worker_agent",
     "REPLY_HOLD_S": "_task_runner",
-    "RunnerCallbacks": "_worker_runner",
+    "RunnerCallbacks": "_runner_callbacks",
     "TaskRunner": "_task_runner",
     "WorkerAgent": "_worker_agent",
     "WorkerRunner": "_worker_runner",
--- a/persimmoncrank/coordination/execution/_worker_agent.py
+++ b/persimmoncrank/coordination/execution/_worker_agent.py
@@ -11,7 +11,8 @@
 import msgspec
 
 from persimmoncrank.coordination.execution._entry_links import EntryLinks
-from persimmoncrank.coordination.execution._worker_runner import RunnerCallbacks, WorkerRunner
+from persimmoncrank.coordination.execution._runner_callbacks import RunnerCallbacks
+from persimmoncrank.coordination.execution._worker_runner import WorkerRunner
 from persimmoncrank.protocol import (
     AgentHello,
     CrashedRun,
--- a/persimmoncrank/coordination/execution/_worker_clock.py
+++ b/persimmoncrank/coordination/execution/_worker_clock.py
@@ -33,3 +33,9 @@
     def estimate_ms(self, *, now_s: float) -> int:
         """Return a time that the worker's clock has certainly reached."""
         return self._clock_ms + int((now_s - self._read_at_s) * 1000 * MIN_CLOCK_RATE)
+
+    def is_older(self, clock_ms: int, *, age_s: float, now_s: float) -> bool:
+        """Return whether a reading, -1 if unknown, was certainly taken more than ``age_s`` ago."""
+        if not self.is_known or clock_ms < 0:
+            return False
+        return self.estimate_ms(now_s=now_s) - clock_ms > age_s * 1000
--- a/persimmoncrank/coordination/execution/_worker_crash.py
+++ b/persimmoncrank/coordination/execution/_worker_crash.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import logging
+from typing import TYPE_CHECKING
 
 import anyio
 from result import Err, Ok
@@ -29,6 +30,9 @@
 )
 from persimmoncrank.state import Run, RunState
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 log = logging.getLogger(__name__)
 
 RECENT_START_S = 0.1  # most tasks that crash their worker do so while they start
@@ -36,28 +40,41 @@
 _ABSENT = (WorkerFaultKind.DOWN, WorkerFaultKind.WRONG_INCARNATION)
 
 
-def describe_crashed_run(
-    run: Run, *, crashed_at_s: float, lease_until_s: float, is_explained: bool
-) -> CrashedRun:
-    """Return what is known about a run that was or may have been active as the worker crashed.
+def describe_crash(
+    active: Iterable[Run],
+    unexplained: Iterable[Run],
+    *,
+    crashed_at_s: float,
+    lease_until_s: float,
+) -> tuple[CrashedRun, ...]:
+    """Return the runs that were active when a worker crashed, and those that may have been.
 
-    A run is explained if its end was not known before the crash.
+    ``unexplained`` are runs that had been lost with the lease, for an unknown reason.
     """
     is_in_lease = crashed_at_s <= lease_until_s
-    return CrashedRun(
-        ref=run.order.ref,
-        kind=run.order.kind,
-        is_recent=run.ordered_at_s >= crashed_at_s - RECENT_START_S,
-        is_confirmed=is_explained and run.is_confirmed and is_in_lease,
+
+    def describe(run: Run, *, is_confirmed: bool) -> CrashedRun:
+        return CrashedRun(
+            ref=run.order.ref,
+            kind=run.order.kind,
+            is_recent=run.ordered_at_s >= crashed_at_s - RECENT_START_S,
+            is_confirmed=is_confirmed,
+        )
+
+    return (
+        *(describe(run, is_confirmed=run.is_confirmed and is_in_lease) for run in active),
+        *(describe(run, is_confirmed=False) for run in unexplained),
     )
 
 
-def is_sent_after(run: Run, down_since_s: float) -> bool:
-    """Return whether a start is still on its way to a worker that was down before.
+def is_sent_after(run: Run, down_since_s: float | None) -> bool:
+    """Return whether a start is still on its way to a worker that was down before, if it was.
 
     A start that was answered, or whose connection broke, may have been what ended the worker: the
     failure before it may have been that of a single connection.
     """
+    if down_since_s is None:
+        return False
     return run.ordered_at_s > down_since_s and run.state is RunState.ORDERED
 
 
--- /dev/null
+++ b/persimmoncrank/coordination/execution/_worker_lease.py
@@ -0,0 +1,48 @@
+"""The lease under which runs are active on a worker, by the worker's clock."""
+
+from __future__ import annotations
+
+import logging
+
+from persimmoncrank.coordination.execution._worker_calls import CALL_TIMEOUT_S
+from persimmoncrank.coordination.execution._worker_clock import WorkerClock
+
+log = logging.getLogger(__name__)
+
+CLOCK_DRIFT_FACTOR = 1.02  # a worker's clock may run up to 2% slow
+LEASE_EXPIRY_MARGIN_S = 0.05
+
+
+class WorkerLease:
+    """The lease at one incarnation of a worker. ``extended_at_s`` is when it was last extended."""
+
+    def __init__(self, *, lease_s: float, limit_s: float) -> None:
+        """Create a lease of ``lease_s``; the worker shortens a longer one to ``limit_s``."""
+        self.clock = WorkerClock()
+        self.extended_at_s = 0.0
+        self._lease_s = lease_s
+        self._limit_s = limit_s
+
+    @property
+    def until_s(self) -> float:
+        """The time until which the worker certainly keeps the lease."""
+        return self.extended_at_s + self._lease_s
+
+    @property
+    def longest_until_s(self) -> float:
+        """The time at which runs have ended at any incarnation that received a call."""
+        return self.extended_at_s + CALL_TIMEOUT_S + _expires_after_s(self._limit_s)
+
+    def extend(self, *, now_s: float) -> int:
+        """Record an extension, and return its end on the worker's clock in milliseconds."""
+        self.extended_at_s = now_s
+        return self.clock.estimate_ms(now_s=now_s) + int(self._lease_s * 1000)
+
+    def has_expired(self, *, now_s: float) -> bool:
+        """Return whether the lease has certainly expired on the worker's clock."""
+        return now_s - self.extended_at_s > _expires_after_s(self._lease_s)
+
+
+def _expires_after_s(lease_s: float) -> float:
+    """Return how long after its extension a lease has certainly expired on the worker's clock."""
+    return lease_s * CLOCK_DRIFT_FACTOR + LEASE_EXPIRY_MARGIN_S
--- a/persimmoncrank/coordination/execution/_worker_runner.py
+++ b/persimmoncrank/coordination/execution/_worker_runner.py
@@ -8,43 +8,46 @@
 from __future__ import annotations
 
 import logging
-from collections import defaultdict
-from collections.abc import Callable
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import anyio
 from result import Err, Ok, Result
 
-from persimmoncrank.coordination.execution._worker_calls import (
-    CALL_TIMEOUT_S,
-    FENCE_STEP,
-    RETRY_DELAY_S,
-    call_within,
+from persimmoncrank.coordination.execution._run_decisions import (
+    CHECK_INTERVAL_S,
+    MISSING_LISTS_BEFORE_LOST,
+    OUTCOMES,
+    ListRequest,
+    find_hanging_runs,
+    has_never_started,
+    is_missing,
+    log_fields,
+    queue_check_delay_s,
+)
+from persimmoncrank.coordination.execution._worker_calls import RETRY_DELAY_S
+from persimmoncrank.coordination.execution._worker_connection import (
+    LIST_WAIT_S,
+    WorkerConnection,
 )
-from persimmoncrank.coordination.execution._worker_clock import WorkerClock
 from persimmoncrank.coordination.execution._worker_crash import (
-    describe_crashed_run,
+    describe_crash,
     is_sent_after,
     stop_at_next_incarnation,
 )
+from persimmoncrank.coordination.execution._worker_lease import WorkerLease
 from persimmoncrank.protocol import (
-    CrashedRun,
     Demand,
     EndedRun,
     OrderOutcome,
-    Renewal,
     RunEndKind,
     RunList,
     RunRef,
     StartRefusal,
     StartReply,
-    StartRun,
     WorkerFault,
     WorkerFaultKind,
 )
 from persimmoncrank.state import (
-    MIN_PROGRESS_PERCENT,
     Run,
     RunLedger,
     RunState,
@@ -54,53 +57,14 @@
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
 
+    from persimmoncrank.coordination.execution._runner_callbacks import RunnerCallbacks
     from persimmoncrank.protocol import WorkerHeartbeat, WorkerPort
 
 log = logging.getLogger(__name__)
 
-LIST_WAIT_S = 0.15  # long poll: the worker answers earlier if a run has ended
-CHECK_INTERVAL_S = 0.05
-MIN_CHECK_INTERVAL_S = 0.001
-IDLE_CHECK_INTERVAL_S = 0.25
 MAX_START_ATTEMPTS = 4
-MISSING_LISTS_BEFORE_LOST = 3
-CLOCK_DRIFT_FACTOR = 1.02  # a worker's clock may run up to 2% slow
-LEASE_EXPIRY_MARGIN_S = 0.05
-UNRESPONSIVE_AFTER_S = 2 * (LIST_WAIT_S + CALL_TIMEOUT_S)
-
-_OUTCOMES = {
-    RunEndKind.DONE: OrderOutcome.DONE,
-    RunEndKind.FAILED: OrderOutcome.FAILED,
-    RunEndKind.STOPPED: OrderOutcome.STOPPED,
-    RunEndKind.LAPSED: OrderOutcome.LOST,
-    RunEndKind.BROKEN: OrderOutcome.LOST,
-    RunEndKind.ALONE: OrderOutcome.LOST,
-}
-_NOT_SENT = (WorkerFaultKind.NOT_CONNECTED, WorkerFaultKind.DOWN)
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class RunnerCallbacks:
-    """Callbacks of the runner.
-
-    ``started`` and ``ended`` report runs, the latter with outcome, run time in seconds and cause.
-    ``crashed`` reports the runs that were active when the worker crashed, before their ends.
-    ``changed`` reports other changes of the worker's state; ``may_start`` is asked before a start.
-    """
 
-    started: Callable[[Run], None]
-    ended: Callable[[Run, OrderOutcome, float, str], None]
-    crashed: Callable[[tuple[CrashedRun, ...]], None]
-    changed: Callable[[], None]
-    may_start: Callable[[Run], bool]
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class _ListRequest:
-    """A request for the worker's list of runs: its sequence number and when it was sent."""
-
-    number: int
-    sent_at_s: float
+_NOT_SENT = (WorkerFaultKind.NOT_CONNECTED, WorkerFaultKind.DOWN)
 
 
 class WorkerRunner:
@@ -124,21 +88,12 @@
         self.worker = worker
         self.ledger = RunLedger(capacity=worker.capacity)
         self.health = health or WorkerHealth()
-        self.fence = fence
         self.is_terminated = False
-        self._port = port
-        self._lease_s = lease_s
-        self._lease_limit_s = lease_limit_s
+        self._lease = WorkerLease(lease_s=lease_s, limit_s=lease_limit_s)
+        self._connection = WorkerConnection(port=port, lease=self._lease, fence=fence)
         self._events = events
-        self._clock = WorkerClock()
-        self._seen_cursor = 0
-        self._missing_counts: dict[RunRef, int] = {}
         self._unexplained_runs: list[Run] = []
         self._unresponsive_since_s: float | None = None
-        self._is_listed = False
-        self._listed_at_s = 0.0
-        self._list_request_count = 0
-        self._lease_extended_at_s = 0.0
         self._queue_changed = anyio.Event()
         self._group: TaskGroup | None = None
         self._doubtful_runs: list[tuple[Run, OrderOutcome, str]] = []
@@ -146,14 +101,12 @@
     @property
     def is_ready(self) -> bool:
         """Whether the worker has listed its runs within ``UNRESPONSIVE_AFTER_S``."""
-        if self.is_terminated or not self._is_listed:
-            return False
-        return self._now() - self._listed_at_s < UNRESPONSIVE_AFTER_S
+        return not self.is_terminated and self._connection.is_responsive
 
     @property
     def free(self) -> Demand:
         """The free resources; none before the worker has listed its runs."""
-        return self.ledger.free if self._is_listed else Demand()
+        return self.ledger.free if self._connection.is_listed else Demand()
 
     @staticmethod
     def _now() -> float:
@@ -185,10 +138,8 @@
         self.is_terminated = True
         has_crashed = not (is_planned or self.worker.is_draining)
         active = list(self.ledger.active.values())
-        unsent: list[Run] = []
-        if down_since_s is not None:
-            unsent = [run for run in active if is_sent_after(run, down_since_s)]
-            active = [run for run in active if run not in unsent]
+        unsent = [run for run in active if is_sent_after(run, down_since_s)]
+        active = [run for run in active if run not in unsent]
         log.warning(
             "agent: worker incarnation ended worker=%s crashed=%s runs=%d lost_before=%d cause=%s",
             self.worker.worker,
@@ -199,53 +150,39 @@
         )
         if has_crashed:
             crashed_at_s = self._now() if down_since_s is None else down_since_s
-            self._report_crash(active, crashed_at_s)
+            crashed = describe_crash(
+                active,
+                self._unexplained_runs,
+                crashed_at_s=crashed_at_s,
+                lease_until_s=self._lease.until_s,
+            )
+            if crashed:
+                self._events.crashed(crashed)
         for run in list(self.ledger.queued):
             self._end_queued(run, cause)
         outcome = OrderOutcome.CRASHED if has_crashed else OrderOutcome.LOST
         self._doubtful_runs = [(run, OrderOutcome.NOT_STARTED, cause) for run in unsent]
-        for run in active:
-            if run.is_listed:
-                self._end_run(run, outcome, cause)
-            else:
-                self._doubtful_runs.append((run, outcome, cause))
+        self._doubtful_runs += [(run, outcome, cause) for run in active if not run.is_listed]
+        for run in [run for run in active if run.is_listed]:
+            self._end_run(run, outcome, cause)
         if self._group is not None:
             self._group.cancel_scope.cancel()
 
-    def _report_crash(self, active: list[Run], crashed_at_s: float) -> None:
-        """Report the runs that were or may have been active when the worker crashed."""
-
-        def describe(run: Run, *, is_explained: bool) -> CrashedRun:
-            return describe_crashed_run(
-                run,
-                crashed_at_s=crashed_at_s,
-                lease_until_s=self._lease_extended_at_s + self._lease_s,
-                is_explained=is_explained,
-            )
-
-        crashed = (
-            *(describe(run, is_explained=True) for run in active),
-            *(describe(run, is_explained=False) for run in self._unexplained_runs),
-        )
-        if crashed:
-            self._events.crashed(crashed)
-
     async def _settle_doubtful_run(self, run: Run, outcome: OrderOutcome, cause: str) -> None:
         """End a run once it is not active on the worker's next incarnation."""
-        limit_s = CALL_TIMEOUT_S + _lease_expires_after_s(self._lease_limit_s)
-        with anyio.move_on_at(self._lease_extended_at_s + limit_s):
-            kind = await stop_at_next_incarnation(run.ref, port=self._port, fence=self.fence)
+        with anyio.move_on_after(self._lease.longest_until_s - self._now()):
+            kind = await stop_at_next_incarnation(
+                run.ref, port=self._connection.port, fence=self._connection.fence
+            )
             if kind is not None:
-                outcome = _OUTCOMES[kind] if kind is RunEndKind.DONE else OrderOutcome.LOST
+                outcome = OUTCOMES[kind] if kind is RunEndKind.DONE else OrderOutcome.LOST
                 cause = f"the worker's next incarnation received the start, {kind.value}"
         self._end_run(run, outcome, cause)
 
     def is_delayed(self, heartbeat: WorkerHeartbeat, *, limit_s: float) -> bool:
         """Return whether the worker sent a heartbeat more than ``limit_s`` ago."""
-        is_same_clock = heartbeat.incarnation == self.worker.incarnation and self._clock.is_known
-        if not is_same_clock or heartbeat.clock_ms < 0:
-            return False
-        return self._clock.estimate_ms(now_s=self._now()) - heartbeat.clock_ms > limit_s * 1000
+        clock, is_same = self._lease.clock, heartbeat.incarnation == self.worker.incarnation
+        return is_same and clock.is_older(heartbeat.clock_ms, age_s=limit_s, now_s=self._now())
 
     def update_worker(self, heartbeat: WorkerHeartbeat) -> None:
         """Apply a heartbeat of the same incarnation, whose capacity may have changed."""
@@ -309,7 +246,7 @@
     async def _start(self, run: Run) -> None:
         """Send a start to the worker; retry refusals that a corrected request can avoid."""
         for _ in range(MAX_START_ATTEMPTS):
-            answer = await self._send_start(run)
+            answer = await self._connection.start(run)
             if self.ledger.active.get(run.ref) is not run:
                 return
             refusal = self._handle_start_reply(run, answer)
@@ -320,25 +257,16 @@
                 return
         self._end_run(run, OrderOutcome.NOT_STARTED, "the worker refused every start request")
 
-    async def _send_start(self, run: Run) -> Result[StartReply, WorkerFault]:
-        until_ms = self._clock.estimate_ms(now_s=self._now()) + int(self._lease_s * 1000)
-        run.start_deadline_ms = max(run.start_deadline_ms, until_ms)
-        self._lease_extended_at_s = self._now()
-        order = StartRun(
-            run=run.ref, payload=run.order.payload, until_ms=until_ms, fence=self.fence
-        )
-        return await call_within(CALL_TIMEOUT_S, self._port.start(order))
-
     def _handle_start_reply(
         self, run: Run, answer: Result[StartReply, WorkerFault]
     ) -> StartRefusal | None:
         """Process the answer to a start; return the refusal, if it was one."""
         match answer:
             case Ok(reply) if reply.refusal is None:
-                self._clock.update(reply.clock_ms, now_s=self._now())
+                self._lease.clock.update(reply.clock_ms, now_s=self._now())
                 self._mark_running(run)
             case Ok(reply):
-                self._clock.update(reply.clock_ms, now_s=self._now())
+                self._lease.clock.update(reply.clock_ms, now_s=self._now())
                 return reply.refusal
             case Err(fault) if fault.kind is WorkerFaultKind.WRONG_INCARNATION:
                 self.terminate(fault.message)
@@ -350,7 +278,7 @@
                 run.state = RunState.UNCONFIRMED
                 log.warning(
                     "agent: start not answered job=%s task=%d.%d run=%d cause=%s",
-                    *_log_args(run),
+                    *log_fields(run),
                     fault.message,
                 )
                 self.stop(run, "the start was not answered")
@@ -361,7 +289,7 @@
         if run.is_stopping:
             return False
         if refusal is StartRefusal.STALE_FENCE:
-            self.fence += FENCE_STEP
+            self._connection.raise_fence()
             return True
         if refusal is StartRefusal.OLD_RUN:
             self.ledger.renumber(run, least=2 * run.number + 1)
@@ -379,22 +307,22 @@
     async def _stop(self, run: Run) -> None:
         """Send a stop until the worker confirms it; the run's end appears in a later list."""
         while self.ledger.active.get(run.ref) is run:
-            answer = await call_within(CALL_TIMEOUT_S, self._port.stop(run.ref, self.fence))
+            answer = await self._connection.stop(run.ref)
             match answer:
                 case Ok(clock_ms):
-                    self._clock.update(clock_ms, now_s=self._now())
-                    run.stop_confirmed_list = self._list_request_count
+                    self._lease.clock.update(clock_ms, now_s=self._now())
+                    run.stop_confirmed_list = self._connection.list_request_count
                     if run.state is RunState.UNCONFIRMED:
                         await self._request_list(wait_s=0.0)
                     return
                 case Err(fault) if fault.kind is WorkerFaultKind.WRONG_INCARNATION:
                     self.terminate(fault.message)
                 case Err(fault) if fault.kind is WorkerFaultKind.STALE_FENCE:
-                    self.fence += FENCE_STEP
+                    self._connection.raise_fence()
                 case Err(fault):
                     log.warning(
                         "agent: stop not answered job=%s task=%d.%d run=%d cause=%s",
-                        *_log_args(run),
+                        *log_fields(run),
                         fault.message,
                     )
                     await anyio.sleep(RETRY_DELAY_S)
@@ -404,7 +332,9 @@
     async def _run_renewals(self) -> None:
         is_unresponsive = False
         while not self.is_terminated:
-            answer = await self._request_list(wait_s=LIST_WAIT_S if self._is_listed else 0.0)
+            answer = await self._request_list(
+                wait_s=LIST_WAIT_S if self._connection.is_listed else 0.0
+            )
             match answer:
                 case Ok(_):
                     if is_unresponsive:
@@ -420,30 +350,11 @@
 
     async def _request_list(self, *, wait_s: float) -> Result[RunList, WorkerFault]:
         """Renew the lease and process the list of runs; a long poll of up to ``wait_s``."""
-        self._list_request_count += 1
-        request = _ListRequest(number=self._list_request_count, sent_at_s=self._now())
-        call = self._port.renew(self._renewal(wait_s))
-        answer = await call_within(LIST_WAIT_S + CALL_TIMEOUT_S, call)
+        request, answer = await self._connection.request_list(wait_s=wait_s)
         if isinstance(answer, Ok):
             self._handle_list(answer.unwrap(), request)
         return answer
 
-    def _renewal(self, wait_s: float) -> Renewal:
-        """Return the next renewal; it does not extend the lease of an unresponsive worker.
-
-        The lease of such a worker then expires at a known time, after which no run is active on it.
-        """
-        until_ms = None
-        if self._clock.is_known and (self.is_ready or not self._is_listed):
-            self._lease_extended_at_s = self._now()
-            until_ms = self._clock.estimate_ms(now_s=self._now()) + int(self._lease_s * 1000)
-        return Renewal(
-            fence=self.fence,
-            seen_cursor=self._seen_cursor,
-            until_ms=until_ms,
-            wait_ms=int(wait_s * 1000),
-        )
-
     def _handle_renewal_failure(self, fault: WorkerFault, *, was_unresponsive: bool) -> bool:
         if fault.kind is WorkerFaultKind.DOWN:
             self._handle_refused_connection(fault)
@@ -452,9 +363,11 @@
         if fault.kind is WorkerFaultKind.WRONG_INCARNATION:
             self.terminate(fault.message)
         if fault.kind is WorkerFaultKind.STALE_FENCE:
-            self.fence += FENCE_STEP
+            self._connection.raise_fence()
             log.info(
-                "agent: fencing token raised worker=%s fence=%d", self.worker.worker, self.fence
+                "agent: fencing token raised worker=%s fence=%d",
+                self.worker.worker,
+                self._connection.fence,
             )
         elif not was_unresponsive:
             log.warning(
@@ -463,8 +376,7 @@
                 fault.message,
             )
             self._events.changed()
-        unextended_s = self._now() - self._lease_extended_at_s
-        if self.ledger.active and unextended_s > _lease_expires_after_s(self._lease_s):
+        if self.ledger.active and self._lease.has_expired(now_s=self._now()):
             self._mark_all_lost("the worker's lease has expired")
         return True
 
@@ -487,50 +399,36 @@
             self._unexplained_runs.append(run)
             self._end_run(run, OrderOutcome.LOST, cause)
 
-    def _handle_list(self, runs: RunList, request: _ListRequest) -> None:
+    def _handle_list(self, runs: RunList, request: ListRequest) -> None:
         if runs.incarnation != self.worker.incarnation:
             self.terminate(f"the worker answered as incarnation {runs.incarnation}")
             return
         now_s = self._now()
-        if not self._clock.update(runs.clock_ms, now_s=now_s):
+        if not self._lease.clock.update(runs.clock_ms, now_s=now_s):
             return
         was_ready = self.is_ready
-        self._is_listed = True
-        self._listed_at_s = now_s
+        self._connection.is_listed = True
+        self._connection.listed_at_s = now_s
         for end in runs.ended:
             self._handle_end(end)
         running = {entry.run: entry.percent for entry in runs.running}
         self._update_unknown_runs(set(running))
         for run in list(self.ledger.active.values()):
             self._reconcile_run(run, running.get(run.ref), runs, request)
-        self._update_progress(now_s)
+        hanging = find_hanging_runs(list(self.ledger.active.values()), self.health, now_s=now_s)
+        for run, cause in hanging:
+            self.stop(run, cause)
         if not was_ready:
             self._events.changed()
         self.start_queued()
 
-    def _update_progress(self, now_s: float) -> None:
-        """Estimate the worker's speed from its running tasks, and stop those without progress."""
-        ratios: defaultdict[str, list[float]] = defaultdict(list)
-        for run in list(self.ledger.active.values()):
-            if run.state is not RunState.RUNNING or run.is_stopping:
-                continue
-            if run.last_percent >= MIN_PROGRESS_PERCENT:
-                ran_s = run.progressed_at_s - run.started_at_s
-                ratio = 100 * ran_s / run.last_percent / max(run.order.nominal_s, 0.001)
-                ratios[run.order.ref.job_id].append(ratio)
-            limit_s = self.health.hang_limit_s(nominal_s=run.order.nominal_s)
-            if now_s - run.progressed_at_s > limit_s:
-                self.health.record_failure(job_id=run.order.ref.job_id, now_s=now_s)
-                self.stop(run, f"no progress for {limit_s:.2f} s")
-        self.health.record_progress(ratios)
-
     def _handle_end(self, end: EndedRun) -> None:
-        if end.cursor <= self._seen_cursor:
+        if end.cursor <= self._connection.seen_cursor:
             return
-        self._seen_cursor = end.cursor
+        self._connection.seen_cursor = end.cursor
         run = self.ledger.active.get(end.run)
         if run is not None:
-            self._end_run(run, _OUTCOMES[end.kind], run.stop_cause or end.kind.value)
+            self._end_run(run, OUTCOMES[end.kind], run.stop_cause or end.kind.value)
 
     def _update_unknown_runs(self, running: set[RunRef]) -> None:
         """Stop runs of an earlier process of the agent; no run starts until they have ended."""
@@ -545,16 +443,16 @@
 
     async def _stop_unknown_run(self, ref: RunRef) -> None:
         while ref in self.ledger.unknown_runs:
-            await call_within(CALL_TIMEOUT_S, self._port.stop(ref, self.fence))
+            await self._connection.stop(ref)
             await anyio.sleep(CHECK_INTERVAL_S)
 
     def _reconcile_run(
-        self, run: Run, percent: int | None, runs: RunList, request: _ListRequest
+        self, run: Run, percent: int | None, runs: RunList, request: ListRequest
     ) -> None:
         """Update an active run from a list of runs; end it if it cannot be active any more."""
         if percent is not None:
             run.is_listed = True
-            self._missing_counts.pop(run.ref, None)
+            run.missing_count = 0
             if run.state is not RunState.RUNNING and not run.is_stopping:
                 self._mark_running(run)
             if percent != run.last_percent:
@@ -562,15 +460,11 @@
                 run.progressed_at_s = self._now()
             return
         if run.state is RunState.UNCONFIRMED:
-            has_expired = runs.clock_ms > run.start_deadline_ms
-            confirmed = run.stop_confirmed_list
-            is_stopped = confirmed is not None and confirmed < request.number
-            if has_expired or is_stopped:
+            if has_never_started(run, runs, request):
                 self._end_run(run, OrderOutcome.NOT_STARTED, run.stop_cause or "the start expired")
-        elif run.state is RunState.RUNNING and run.started_at_s < request.sent_at_s:
-            missing = self._missing_counts.get(run.ref, 0) + 1
-            self._missing_counts[run.ref] = missing
-            if missing >= MISSING_LISTS_BEFORE_LOST:
+        elif is_missing(run, request):
+            run.missing_count += 1
+            if run.missing_count >= MISSING_LISTS_BEFORE_LOST:
                 self._end_run(run, OrderOutcome.LOST, "the worker no longer lists the run")
 
     # Ends.
@@ -582,7 +476,6 @@
     def _end_run(self, run: Run, outcome: OrderOutcome, cause: str) -> None:
         now_s = self._now()
         self.ledger.release(run)
-        self._missing_counts.pop(run.ref, None)
         run_s = now_s - run.started_at_s if run.started_at_s else 0.0
         if outcome is OrderOutcome.DONE:
             self.health.record_success(run_s=run_s, nominal_s=run.order.nominal_s)
@@ -597,25 +490,9 @@
         """Drop queued runs that can no longer start in time, and start those that fit."""
         while True:
             self._queue_changed = anyio.Event()
-            with anyio.move_on_after(self._next_queue_check_s()):
+            with anyio.move_on_after(queue_check_delay_s(self.ledger, now_s=self._now())):
                 await self._queue_changed.wait()
             now_s = self._now()
             for run in [run for run in self.ledger.queued if run.start_deadline_s <= now_s]:
                 self._end_queued(run, "no capacity in time to start")
             self.start_queued()
-
-    def _next_queue_check_s(self) -> float:
-        if not self.ledger.queued:
-            return IDLE_CHECK_INTERVAL_S
-        first_deadline_s = min(run.start_deadline_s for run in self.ledger.queued)
-        return min(max(first_deadline_s - self._now(), MIN_CHECK_INTERVAL_S), CHECK_INTERVAL_S)
-
-
-def _lease_expires_after_s(lease_s: float) -> float:
-    """Return how long after its extension a lease has certainly expired on the worker's clock."""
-    return lease_s * CLOCK_DRIFT_FACTOR + LEASE_EXPIRY_MARGIN_S
-
-
-def _log_args(run: Run) -> tuple[str, int, int, int]:
-    ref = run.order.ref
-    return (ref.job_id, ref.step, ref.index, run.number)
--- a/persimmoncrank/state/_run_ledger.py
+++ b/persimmoncrank/state/_run_ledger.py
@@ -33,7 +33,8 @@
 
     ``start_deadline_ms`` is the time on the worker's clock up to which a start that was sent may be
     carried out. ``is_listed`` is set once the worker has listed the run as running, and
-    ``is_stopping`` once it is no longer needed. ``stop_confirmed_list`` is
+    ``missing_count`` counts the later lists without it. ``is_stopping`` is set once it is no longer
+    needed. ``stop_confirmed_list`` is
     the number of the last list of runs requested before the worker acknowledged the stop; only a
     list requested later shows the effect of the stop.
     """
@@ -47,6 +48,7 @@
     started_at_s: float = 0.0
     start_deadline_ms: int = 0
     is_listed: bool = False
+    missing_count: int = 0
     is_stopping: bool = False
     stop_cause: str = ""
     stop_confirmed_list: int | None = None
--- a/persimmoncrank/tests/test_worker_crashes.py
+++ b/persimmoncrank/tests/test_worker_crashes.py
@@ -176,7 +176,7 @@
         runner = await harness.start(group)
         runner.submit(make_run(1))
         await anyio.sleep(0.2)
-        runner._lease_extended_at_s -= frozen_s
+        runner._lease.extended_at_s -= frozen_s
         runner.terminate("the worker answered as another incarnation")
         assert [run.is_confirmed for run in harness.crashed_runs] == [not frozen_s]
 
