--- a/persimmoncrank/commands/_dispatch_entry.py
+++ b/persimmoncrank/commands/_dispatch_entry.py
@@ -119,7 +119,7 @@
         addresses=lambda: directory.peer_addresses(read_seeds()),
         entries=directory.entries,
         on_reply=directory.set_named,
-        on_request=directory.add_heard,
+        on_request=directory.add_requester,
     )
 
     async def serve_peer(stream: MessageStream) -> None:
--- a/persimmoncrank/coordination/dispatch/_directory.py
+++ b/persimmoncrank/coordination/dispatch/_directory.py
@@ -1,6 +1,6 @@
 """The entries of a deployment: those with a row in the store, and those that ask for copies.
 
-An entry that the store turns away cannot register, so its peers pass on what they hear from it.
+An entry that the store turns away cannot register, so its peers pass on what its requests say.
 """
 
 from __future__ import annotations
@@ -31,8 +31,8 @@
 DIRECTORY_TABLE = "entries"
 READ_INTERVAL_S = 4.0
 RETRY_INTERVAL_S = 0.5
-HEARD_RETENTION_S = 20.0
-MAX_HEARD = 256
+REQUESTER_RETENTION_S = 20.0
+MAX_REQUESTERS = 256
 
 
 class EntryDirectory:
@@ -46,13 +46,17 @@
         self._on_change = on_change
         self._stored: tuple[EntryAddress, ...] = ()
         self._named: tuple[EntryAddress, ...] = ()
-        self._heard: OrderedDict[str, tuple[float, EntryAddress]] = OrderedDict()
+        self._requesters: OrderedDict[str, tuple[float, EntryAddress]] = OrderedDict()
 
     def entries(self) -> tuple[EntryAddress, ...]:
-        """Return the own entry, the registered ones, and those heard from recently."""
-        oldest_s = anyio.current_time() - HEARD_RETENTION_S
-        heard = [entry for heard_at_s, entry in self._heard.values() if heard_at_s >= oldest_s]
-        known = {entry.address: entry for entry in (*self._stored, *heard, self._own)}
+        """Return the own entry, the registered ones, and those that sent a request recently."""
+        oldest_s = anyio.current_time() - REQUESTER_RETENTION_S
+        requesters = [
+            entry
+            for requested_at_s, entry in self._requesters.values()
+            if requested_at_s >= oldest_s
+        ]
+        known = {entry.address: entry for entry in (*self._stored, *requesters, self._own)}
         return tuple(known.values())
 
     def set_stored(self, entries: Iterable[EntryAddress]) -> None:
@@ -60,14 +64,14 @@
         self._stored = _dialable(entries)
         self._on_change(self.entries())
 
-    def add_heard(self, entry: EntryAddress) -> None:
+    def add_requester(self, entry: EntryAddress) -> None:
         """Add an entry that has sent a request."""
         if not _dialable((entry,)):
             return
-        self._heard[entry.address] = (anyio.current_time(), entry)
-        self._heard.move_to_end(entry.address)
-        while len(self._heard) > MAX_HEARD:
-            self._heard.popitem(last=False)
+        self._requesters[entry.address] = (anyio.current_time(), entry)
+        self._requesters.move_to_end(entry.address)
+        while len(self._requesters) > MAX_REQUESTERS:
+            self._requesters.popitem(last=False)
         self._on_change(self.entries())
 
     def set_named(self, entries: Iterable[EntryAddress]) -> None:
--- a/persimmoncrank/coordination/dispatch/_routing.py
+++ b/persimmoncrank/coordination/dispatch/_routing.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from persimmoncrank.protocol import QueueTable
+from persimmoncrank.state import NO_VERSION
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -15,7 +16,6 @@
 
 log = logging.getLogger(__name__)
 
-NO_VERSION = -1
 MAX_LOGGED_PATH_CHARS = 100
 
 
--- a/persimmoncrank/protocol/_codec.py
+++ b/persimmoncrank/protocol/_codec.py
@@ -20,6 +20,7 @@
 
 _OTHER_ERRORS = (RecursionError, UnicodeDecodeError)  # raised by decoders for some bytes
 _encoder = msgspec.msgpack.Encoder()
+_decoders: dict[type, Callable[[bytes], Any]] = {}
 _PATH = re.compile(r" - at `\$\.?(?P<path>[^`]*)`$")
 _UNKNOWN_FIELD = re.compile(r"unknown field `(?P<name>[^`]*)`")
 
@@ -69,10 +70,17 @@
     return msgspec.json.encode(value)
 
 
+def _decoder_of(body_type: type[T]) -> Callable[[bytes], T]:
+    decode = _decoders.get(body_type)
+    if decode is None:
+        decode = _decoders[body_type] = json_decoder(body_type)
+    return decode
+
+
 def decode_json(data: bytes, body_type: type[T]) -> Result[T, ServiceError]:
     """Decode a JSON body; the error names the offending field and the cause."""
     try:
-        return Ok(json_decoder(body_type)(data))
+        return Ok(_decoder_of(body_type)(data))
     except msgspec.ValidationError as error:
         return Err(_describe_validation(str(error)))
     except msgspec.DecodeError as error:
--- a/persimmoncrank/state/__init__.py
+++ b/persimmoncrank/state/__init__.py
@@ -60,7 +60,7 @@
         TaskKey,
         has_ended,
     )
-    from persimmoncrank.state._table_replica import TableReplica
+    from persimmoncrank.state._table_replica import NO_VERSION, TableReplica
     from persimmoncrank.state._worker_health import (
         MIN_PROGRESS_PERCENT,
         WorkerHealth,
@@ -70,6 +70,7 @@
     "CRASH_RETENTION_S",
     "MIN_PROGRESS_PERCENT",
     "NEVER_S",
+    "NO_VERSION",
     "AgentCounters",
     "AgentView",
     "AgentViews",
@@ -112,6 +113,7 @@
     "CommonKind": "_crash_history",
     "CrashHistory": "_crash_history",
     "MIN_PROGRESS_PERCENT": "_worker_health",
+    "NO_VERSION": "_table_replica",
     "LatencyHistogram": "_latency_histogram",
     "AgentCounters": "_counters",
     "AgentView": "_agent_views",
--- a/persimmoncrank/tests/test_peer_copies.py
+++ b/persimmoncrank/tests/test_peer_copies.py
@@ -194,7 +194,7 @@
             addresses=lambda: entry.directory.peer_addresses(self.seeds),
             entries=entry.directory.entries,
             on_reply=entry.directory.set_named,
-            on_request=entry.directory.add_heard,
+            on_request=entry.directory.add_requester,
         )
 
     @contextlib.asynccontextmanager
--- a/persimmoncrank/tests/test_undecodable_rows.py
+++ b/persimmoncrank/tests/test_undecodable_rows.py
@@ -96,7 +96,7 @@
         table = TableService(get=unused, transact=unused, scan=scan)
         with anyio.move_on_after(5.0):
             await follow_directory(table=table, on_entries=directory.set_stored)
-        directory.add_heard(EntryAddress(incarnation="o", address="h:99999"))
+        directory.add_requester(EntryAddress(incarnation="o", address="h:99999"))
         directory.set_named((EntryAddress(incarnation="o", address="h:3", peer_address="h"),))
         assert directory.peer_addresses(()) == ("h:2",)
 
