--- a/persimmoncrank/bench/_worker_world.py
+++ b/persimmoncrank/bench/_worker_world.py
@@ -77,6 +77,7 @@
     """One direction of a stream; messages across a partition wait until it heals."""
 
     endpoints: frozenset[str]
+    is_to_server: bool
     messages: list[tuple[float, Any]] = field(default_factory=list)
     changed: anyio.Event = field(default_factory=anyio.Event)
     is_closed: bool = False
@@ -122,10 +123,14 @@
                 pipe.is_closed = True
                 pipe.notify_reader()
 
-    def stall_open_streams(self) -> None:
-        """Stop delivery on all open streams for good, without closing them; new ones work."""
+    def stall_open_streams(self, *, to_server: bool = True, from_server: bool = True) -> None:
+        """Stop delivery on all open streams for good, without closing them; new ones work.
+
+        Each direction can be spared. The end of a stalled direction is not delivered either.
+        """
         for pipe in self.pipes:
-            pipe.endpoints = frozenset({"nowhere"})
+            if to_server if pipe.is_to_server else from_server:
+                pipe.endpoints = frozenset({"nowhere"})
         self.cuts.add(frozenset({"nowhere"}))
 
     def dialer(self, name: str) -> Callable[[str], Any]:
@@ -141,7 +146,8 @@
                 raise StreamClosedError("no answer")
             if entry not in self.serve:
                 raise StreamClosedError("refused")
-            to_server, from_server = _Pipe(endpoints=endpoints), _Pipe(endpoints=endpoints)
+            to_server = _Pipe(endpoints=endpoints, is_to_server=True)
+            from_server = _Pipe(endpoints=endpoints, is_to_server=False)
             self.pipes += [to_server, from_server]
             self.groups[entry].start_soon(self._serve, entry, to_server, from_server)
             try:
--- a/persimmoncrank/tests/test_lease_on_demand.py
+++ b/persimmoncrank/tests/test_lease_on_demand.py
@@ -167,3 +167,19 @@
         assert near == {"a0" if rack == "r1" else "a1"}
 
     run_scenario(scenario, entries=1, agents=2)
+
+
+@pytest.mark.parametrize("to_server", [True, False], ids=["agent to entry", "entry to agent"])
+def test_streams_that_fall_silent_in_one_direction_are_kept(*, to_server: bool) -> None:
+    async def scenario(world: WorkerWorld) -> None:
+        await anyio.sleep(2.0)
+        world.network.stall_open_streams(to_server=to_server, from_server=not to_server)
+        await anyio.sleep(3 * LEASE_S)
+        for entry in sorted(world.entries):
+            sent_at_s = anyio.current_time()
+            answer = await world.submit(entry, make_worker_job(entry.zfill(16), tasks=2))
+            assert answer is not None
+            assert answer.is_completed
+            assert anyio.current_time() - sent_at_s < 0.2 + LEASE_S
+
+    run_scenario(scenario, entries=3, agents=4)
