--- a/persimmoncrank/coordination/execution/_worker_runner.py
+++ b/persimmoncrank/coordination/execution/_worker_runner.py
@@ -175,7 +175,8 @@
                 run.ref, port=self._connection.port, fence=self._connection.fence
             )
             if kind is not None:
-                outcome = OUTCOMES[kind] if kind is RunEndKind.DONE else OrderOutcome.LOST
+                is_done = kind is RunEndKind.DONE
+                outcome = OrderOutcome.DONE if is_done else OrderOutcome.LOST
                 cause = f"the worker's next incarnation received the start, {kind.value}"
         self._end_run(run, outcome, cause)
 
