Do not end a run in doubt a second time

A terminated runner now ignores late answers, lists and the expiry of the lease. Both cases of test_run_in_doubt_ends_twice failed with KeyError before.

--- a/persimmoncrank/coordination/execution/_worker_runner.py
+++ b/persimmoncrank/coordination/execution/_worker_runner.py
@@ -248,7 +248,7 @@
         """Send a start to the worker; retry refusals that a corrected request can avoid."""
         for _ in range(MAX_START_ATTEMPTS):
             answer = await self._connection.start(run)
-            if self.ledger.active.get(run.ref) is not run:
+            if self.is_terminated or self.ledger.active.get(run.ref) is not run:
                 return
             refusal = self._handle_start_reply(run, answer)
             if refusal is None:
@@ -352,7 +352,7 @@
     async def _request_list(self, *, wait_s: float) -> Result[RunList, WorkerFault]:
         """Renew the lease and process the list of runs; a long poll of up to ``wait_s``."""
         request, answer = await self._connection.request_list(wait_s=wait_s)
-        if isinstance(answer, Ok):
+        if isinstance(answer, Ok) and not self.is_terminated:
             self._handle_list(answer.unwrap(), request)
         return answer
 
@@ -377,7 +377,8 @@
                 fault.message,
             )
             self._events.changed()
-        if self.ledger.active and self._lease.has_expired(now_s=self._now()):
+        has_expired = self._lease.has_expired(now_s=self._now())
+        if self.ledger.active and has_expired and not self.is_terminated:
             self._mark_all_lost("the worker's lease has expired")
         return True
 
--- a/persimmoncrank/tests/test_worker_crashes.py
+++ b/persimmoncrank/tests/test_worker_crashes.py
@@ -6,13 +6,14 @@
 
 import anyio
 import pytest
-from result import Err, Result
+from result import Err, Ok, Result
 
 from persimmoncrank.protocol import (
     OrderOutcome,
     Renewal,
     RunList,
     RunRef,
+    StartRefusal,
     StartReply,
     StartRun,
     WorkerFault,
@@ -223,3 +224,44 @@
         assert harness.ends == [(1, expected)]
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("is_lease_expired", [True, False], ids=["lease expired", "start refused"])
+def test_run_in_doubt_ends_twice(*, is_lease_expired: bool) -> None:
+    """A run that waits for the worker's next incarnation must not be ended by a late answer."""
+
+    async def scenario(group: TaskGroup) -> None:
+        harness = Harness(run_s=5.0)
+        worker = harness.worker
+        down = Err(WorkerFault(kind=WorkerFaultKind.DOWN, message="refused"))
+        silent = Err(WorkerFault(kind=WorkerFaultKind.NO_ANSWER, message="no answer"))
+
+        def wrap(port: WorkerPort) -> WorkerPort:
+            async def start(order: StartRun) -> Result[StartReply, WorkerFault]:
+                if is_lease_expired:
+                    await anyio.sleep_forever()
+                runner.terminate("another incarnation of the worker sent a heartbeat")
+                refusal = StartRefusal.NO_CAPACITY
+                return Ok(StartReply(clock_ms=worker.clock_ms, refusal=refusal))
+
+            async def stop(_run: RunRef, _fence: int) -> Result[int, WorkerFault]:
+                await anyio.sleep(0.01)
+                return down if runner.is_terminated else silent
+
+            async def renew(renewal: Renewal) -> Result[RunList, WorkerFault]:
+                runner = harness.runner
+                if not is_lease_expired or runner is None or not runner.ledger.active:
+                    return await port.renew(renewal)
+                await anyio.sleep(0.2)
+                return down if runner._lease.has_expired(now_s=anyio.current_time()) else silent
+
+            return WorkerPort(start=start, stop=stop, renew=renew)
+
+        runner = await harness.start(group, wrap)
+        await anyio.sleep(0.3)
+        runner.submit(make_run(1))
+        await anyio.sleep(2.0)
+        assert len(harness.ends) == 1
+        assert not runner.ledger.active
+
+    run_scenario(scenario)
