Return an order that reaches a worker's runner after it has ended

Since the runner of a worker that has crashed stays for up to 1.2 s, until its runs in doubt have ended. An order that had waited for the entry's lease meanwhile was put into its queue, where nothing starts or ends it, so the job would have waited until its deadline. The runner returns such an order as not started.

test_order_is_left_in_the_queue_of_a_worker_that_has_ended failed before.

--- a/persimmoncrank/coordination/execution/_worker_crash.py
+++ b/persimmoncrank/coordination/execution/_worker_crash.py
@@ -21,6 +21,7 @@
 )
 from persimmoncrank.protocol import (
     CrashedRun,
+    OrderOutcome,
     Renewal,
     RunEndKind,
     RunList,
@@ -80,10 +81,10 @@
 
 async def stop_at_next_incarnation(
     ref: RunRef, *, port: WorkerPort, fence: int
-) -> RunEndKind | None:
+) -> OrderOutcome | None:
     """Make sure that a run is not active at whatever answers at the worker's address.
 
-    Returns how the run ended there, or None if it has not started there. A confirmed stop also
+    Returns DONE or LOST if the run has started there, and None if it has not. A confirmed stop also
     keeps a start that arrives later from being accepted.
     """
     has_started = is_stopped = False
@@ -96,14 +97,16 @@
         match answer:
             case Ok(RunList() as runs):
                 if all(entry.run != ref for entry in runs.running):
-                    kinds = (end.kind for end in runs.ended if end.run == ref)
-                    return next(kinds, RunEndKind.LAPSED if has_started else None)
+                    kinds = {end.kind for end in runs.ended if end.run == ref}
+                    if RunEndKind.DONE in kinds:
+                        return OrderOutcome.DONE
+                    return OrderOutcome.LOST if kinds or has_started else None
                 has_started = True
                 await anyio.sleep(RETRY_DELAY_S)
             case Ok(_):
                 is_stopped = True
             case Err(fault) if fault.kind in _ABSENT:
-                return RunEndKind.LAPSED if has_started else None
+                return OrderOutcome.LOST if has_started else None
             case Err(fault) if fault.kind is WorkerFaultKind.STALE_FENCE:
                 fence += FENCE_STEP
             case Err(_):
--- a/persimmoncrank/coordination/execution/_worker_runner.py
+++ b/persimmoncrank/coordination/execution/_worker_runner.py
@@ -39,7 +39,6 @@
     Demand,
     EndedRun,
     OrderOutcome,
-    RunEndKind,
     RunList,
     RunRef,
     StartRefusal,
@@ -63,7 +62,6 @@
 log = logging.getLogger(__name__)
 
 MAX_START_ATTEMPTS = 4
-
 _NOT_SENT = (WorkerFaultKind.NOT_CONNECTED, WorkerFaultKind.DOWN)
 
 
@@ -171,13 +169,11 @@
     async def _settle_doubtful_run(self, run: Run, outcome: OrderOutcome, cause: str) -> None:
         """End a run once it is not active on the worker's next incarnation."""
         with anyio.move_on_after(self._lease.longest_until_s - self._now()):
-            kind = await stop_at_next_incarnation(
+            ended_as = await stop_at_next_incarnation(
                 run.ref, port=self._connection.port, fence=self._connection.fence
             )
-            if kind is not None:
-                is_done = kind is RunEndKind.DONE
-                outcome = OrderOutcome.DONE if is_done else OrderOutcome.LOST
-                cause = f"the worker's next incarnation received the start, {kind.value}"
+            if ended_as is not None:
+                outcome, cause = ended_as, "the worker's next incarnation received the start"
         self._end_run(run, outcome, cause)
 
     def is_delayed(self, heartbeat: WorkerHeartbeat, *, limit_s: float) -> bool:
@@ -209,6 +205,9 @@
 
     def submit(self, run: Run) -> None:
         """Queue a run, then start the queued runs that fit."""
+        if self.is_terminated:
+            self._events.ended(run, OrderOutcome.NOT_STARTED, 0.0, "the worker restarted")
+            return
         self.ledger.add(run)
         self.start_queued()
         if self.ledger.queued:
--- a/persimmoncrank/tests/test_worker_crashes.py
+++ b/persimmoncrank/tests/test_worker_crashes.py
@@ -265,3 +265,15 @@
         assert not runner.ledger.active
 
     run_scenario(scenario)
+
+
+def test_order_is_left_in_the_queue_of_a_worker_that_has_ended() -> None:
+    async def scenario(group: TaskGroup) -> None:
+        harness = Harness()
+        runner = await harness.start(group)
+        runner.terminate("another incarnation of the worker sent a heartbeat")
+        runner.submit(make_run(1))
+        assert harness.ends == [(1, OrderOutcome.NOT_STARTED)]
+        assert not runner.ledger.queued
+
+    run_scenario(scenario)
