Show that a route is unknown for 9 s if the store turns all entries away

With both entries of seven machines turned away for 9 s, a new route is answered 404 later than 7 s after its acknowledgement, the bound with the longest stretch.

The store's stand-in now has an address for each machine, so that it can turn machines away.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -20,7 +20,7 @@
 from typing import Any
 
 from standins.executor import Executor, Run, overlaps
-from standins.http import Call, serve
+from standins.http import Call, Request, Response, serve
 from standins.proxy import StreamProxy
 from standins.store import Store
 
@@ -128,7 +128,7 @@
     agents: list[Node] = field(default_factory=list)
     executors: list[Executor] = field(default_factory=list)
     proxies: list[StreamProxy] = field(default_factory=list)
-    store_address: str = ""
+    turned_away: set[str] = field(default_factory=set)
     _tasks: list[asyncio.Task[None]] = field(default_factory=list)
     _servers: list[asyncio.Server] = field(default_factory=list)
 
@@ -154,33 +154,35 @@
 
     # Start and end.
 
-    def put_configuration(self, version: int) -> None:
-        """Write the operator's configuration."""
-        route = {
-            "name": "r-filings",
-            "host": HOST,
-            "path_prefix": PREFIX,
-            "kind": "non_idempotent",
-            "timeout_ms": 1500,
-            "slo_ms": 60,
-            "priority": 0,
-            "service": SERVICE,
-            "max_attempts": 2,
-            "stretch": 1.6,
-        }
+    def put_configuration(self, version: int, *prefixes: str) -> None:
+        """Write the operator's configuration, with a route for each path prefix."""
+        routes = [
+            {
+                "name": f"r-{prefix.strip('/')}",
+                "host": HOST,
+                "path_prefix": prefix,
+                "kind": "non_idempotent",
+                "timeout_ms": 1500,
+                "slo_ms": 60,
+                "priority": 0,
+                "service": SERVICE,
+                "max_attempts": 2,
+                "stretch": 1.6,
+            }
+            for prefix in prefixes
+        ]
         service = {"name": SERVICE, "enforces_capacity": False, "standby": False}
         limits = {"max_header_bytes": 16_384, "max_body_bytes": 262_144}
-        value = {"version": version, "routes": [route], "services": [service], "limits": limits}
+        value = {"version": version, "routes": routes, "services": [service], "limits": limits}
         self.store.put("op", "config", value)
 
     async def start(self, *, entries: int, agents: int, with_proxies: bool) -> None:
         """Start the stand-ins and the processes, and wait until the entries are ready."""
-        self.put_configuration(1)
-        store_ip = "127.0.30.1"
-        self.store_address = f"{store_ip}:{self.ports['store']}"
-        self._servers.append(await serve(self.store.handle, store_ip, self.ports["store"]))
+        self.put_configuration(1, PREFIX)
         self.entries = [self._node("entry", number) for number in range(entries)]
         self.agents = [self._node("agent", number) for number in range(agents)]
+        for node in (*self.entries, *self.agents):
+            await self._start_store_frontend(node)
         if with_proxies:
             public = {
                 entry.ip: entry.ip.replace("127.0.11.", "127.0.21.") for entry in self.entries
@@ -195,6 +197,21 @@
             self._start_process(node)
         await self._wait_until_ready()
 
+    async def _start_store_frontend(self, node: Node) -> None:
+        """Serve the store at an address for one machine, which it may turn away."""
+
+        async def handle(request: Request) -> Response:
+            if node.name in self.turned_away:
+                return Response(status=503)
+            response = await self.store.handle(request)
+            return Response(status=503) if node.name in self.turned_away else response
+
+        host, _, port = self._store_address(node).rpartition(":")
+        self._servers.append(await serve(handle, host, int(port)))
+
+    def _store_address(self, node: Node) -> str:
+        return f"{node.ip.replace('127.0.1', '127.0.3', 1)}:{self.ports['store']}"
+
     async def _start_proxies(self) -> None:
         hosts = [entry.ip for entry in self.entries]
         public = {host: host.replace("127.0.11.", "127.0.21.") for host in hosts}
@@ -263,7 +280,7 @@
             "seeds": [f"{host}:{self.ports['control']}" for host in hosts[:3]],
             "heartbeat_ms": 1500,
             "bounds": BOUNDS,
-            "platform": {"address": self.store_address},
+            "platform": {"address": self._store_address(node)},
         }
 
     async def _wait_until_ready(self) -> None:
