--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -123,6 +123,7 @@
     record: Record
     ports: dict[str, int]
     work_s: Callable[[str], float]
+    cpu_millis: int
     store: Store = field(default_factory=Store)
     entries: list[Node] = field(default_factory=list)
     agents: list[Node] = field(default_factory=list)
@@ -237,6 +238,7 @@
             zone=agent.zone,
             control=self.address(agent, "control"),
             work_s=self.work_s,
+            cpu_millis=self.cpu_millis,
             log=self.record,
         )
         self.executors.append(executor)
@@ -351,13 +353,18 @@
     work_s: Callable[[str], float],
     entries: int = 2,
     agents: int = 4,
+    cpu_millis: int = 16_000,
     with_proxies: bool = False,
 ) -> AsyncIterator[Deployment]:
     """Run a deployment in a temporary folder."""
     names = ("front", "ready", "control", "stream", "metrics", "store", "app")
     with tempfile.TemporaryDirectory() as folder:
         deployment = Deployment(
-            folder=Path(folder), record=record, ports=_free_ports(names), work_s=work_s
+            folder=Path(folder),
+            record=record,
+            ports=_free_ports(names),
+            work_s=work_s,
+            cpu_millis=cpu_millis,
         )
         try:
             await deployment.start(entries=entries, agents=agents, with_proxies=with_proxies)
--- a/review/standins/executor.py
+++ b/review/standins/executor.py
@@ -42,7 +42,7 @@
     control: str
     work_s: Callable[[str], float]
     log: Callable[[str], None]
-    cpu: int = 16_000
+    cpu_millis: int
     runs: list[Run] = field(default_factory=list)
     born_ms: int = field(default_factory=lambda: time.time_ns() // 1_000_000)
     _origin_s: float = field(default_factory=time.monotonic)
@@ -88,7 +88,7 @@
             "slots": 8,
             "state": "ready",
             "cold_left_ms": 0,
-            "capacity": {"cpu": self.cpu, "mem_mb": 32_768, "gpu": 0},
+            "capacity": {"cpu": self.cpu_millis, "mem_mb": 32_768, "gpu": 0},
             "labels": ["a", f"r-{self.zone}"],
             "clock_ms": self.clock_ms,
             "seq": self._sequence,
