Log which orders an entry stops, and which heartbeats change an agent's worker

The lines did not tell whether a stop was requested while the agent's stream was down, whether an opened stream carried it again, or which service and life a heartbeat announced that was taken or ignored.

--- a/persimmoncrank/coordination/dispatch/_agent_link.py
+++ b/persimmoncrank/coordination/dispatch/_agent_link.py
@@ -80,6 +80,11 @@
             return 0.0
         return max(self._free.cpu_millis, 0) / self.report.capacity.cpu_millis
 
+    @property
+    def pending_stop_count(self) -> int:
+        """The number of stops in the next frame."""
+        return len(self._pending_stops)
+
     def is_current(self, *, now_s: float) -> bool:
         """Return whether the last frame is recent, so that its report still describes the worker.
 
--- a/persimmoncrank/coordination/dispatch/_agent_streams.py
+++ b/persimmoncrank/coordination/dispatch/_agent_streams.py
@@ -116,9 +116,12 @@
         for order in missing:
             self._on_order_end(order, OrderOutcome.LOST, "the agent does not hold the order", link)
         log.info(
-            "entry: stream of agent opened agent=%s domain=%s",
+            "entry: stream of agent opened agent=%s domain=%s held=%d stopped=%d missing=%d",
             frame.hello.incarnation,
             frame.hello.domain,
+            len(frame.hello.held),
+            link.pending_stop_count,
+            len(missing),
         )
         with anyio.CancelScope() as scope:
             link.stream_scope = scope
--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -266,8 +266,16 @@
             self.counters.jobs_failed[error.kind if error else ErrorKind.TASK_FAILED] += 1
 
     def _stop_orders(self, run: JobRun) -> None:
-        for order_id, agent in run.open_orders.items():
-            link = self.links[agent]
+        if not run.open_orders:
+            return
+        links = [self.links[agent] for agent in run.open_orders.values()]
+        log.info(
+            "entry: orders stopped job=%s orders=%d agents_disconnected=%d",
+            run.job.job_id,
+            len(links),
+            sum(not link.is_connected for link in links),
+        )
+        for order_id, link in zip(run.open_orders, links, strict=True):
             link.queue_stop(link.orders[order_id])
 
     def abort_jobs(self, cause: str) -> None:
--- a/persimmoncrank/coordination/execution/_worker_agent.py
+++ b/persimmoncrank/coordination/execution/_worker_agent.py
@@ -134,7 +134,16 @@
         """Process a heartbeat of the worker; return False if it is out of date."""
         known = self._heartbeat
         if known is not None and _heartbeat_version(heartbeat) < _heartbeat_version(known):
-            log.info("agent: out-of-date heartbeat ignored worker=%s", heartbeat.worker)
+            log.info(
+                "agent: out-of-date heartbeat ignored worker=%s life=%d seq=%d known_worker=%s"
+                " known_life=%d known_seq=%d",
+                heartbeat.worker,
+                heartbeat.incarnation,
+                heartbeat.sequence,
+                known.worker,
+                known.incarnation,
+                known.sequence,
+            )
             return False
         if self.runner is not None and self.runner.is_delayed(
             heartbeat, limit_s=HEARTBEAT_TIMEOUT_S
@@ -149,9 +158,13 @@
             heartbeat.incarnation,
         ):
             log.info(
-                "agent: new worker incarnation worker=%s life=%d",
+                "agent: new worker incarnation worker=%s life=%d service=%s known_worker=%s"
+                " known_life=%d",
                 heartbeat.worker,
                 heartbeat.incarnation,
+                heartbeat.service,
+                known.worker if known is not None else "none",
+                known.incarnation if known is not None else 0,
             )
             if self.runner is not None:
                 self.runner.terminate("another incarnation of the worker sent a heartbeat")
