Stop the runs of an ended job although a stream has broken

The entry sent a stop once, as a message. One that was queued while the agent's stream was down was dropped when the next stream opened, and one in the last frame before the break was lost on its way; `is_stopping` kept both from being sent again. The agent connects again within its lease, so the lease does not end the runs either. Ruled out: a stop that the worker does not get, since the agent repeats it until it is answered.

An opened stream now begins with the stops of all held orders that the entry does not want: those that it does not know, and those that are stopping. This is derived from the orders, so that it does not matter which stream has carried what, or whether the next one breaks too.

--- a/persimmoncrank/bench/_worker_world.py
+++ b/persimmoncrank/bench/_worker_world.py
@@ -116,11 +116,13 @@
         while name in self.frozen:
             await anyio.sleep(FREEZE_POLL_INTERVAL_S)
 
-    def reset(self, name: str) -> None:
-        """Break all streams of a process."""
+    def reset(self, name: str, *, loses_messages: bool = False) -> None:
+        """Break all streams of a process; messages on their way may be lost."""
         for pipe in self.pipes:
             if name in pipe.endpoints:
                 pipe.is_closed = True
+                if loses_messages:
+                    pipe.messages.clear()
                 pipe.notify_reader()
 
     def stall_open_streams(self, *, to_server: bool = True, from_server: bool = True) -> None:
@@ -181,7 +183,7 @@
                     at_s, message = incoming.messages[0]
                     await anyio.sleep(max(at_s - anyio.current_time(), 0))
                     await self.wait_while_frozen(owner)
-                    if not self.is_cut(incoming.endpoints):
+                    if incoming.messages and not self.is_cut(incoming.endpoints):
                         incoming.messages.pop(0)
                         return message
                 elif incoming.is_closed and not self.is_cut(incoming.endpoints):
--- a/persimmoncrank/coordination/dispatch/_agent_link.py
+++ b/persimmoncrank/coordination/dispatch/_agent_link.py
@@ -104,11 +104,12 @@
         """Reset the state for a new stream; return the sent orders that the agent does not hold.
 
         Orders that the agent holds but this entry has given up are stopped before any lease is
-        granted.
+        granted: those that it does not know, and those whose stop may have been lost on an earlier
+        stream.
         """
         self.hello = hello
         self.heard_at_s = now_s
-        self._pending_stops = [key for key in hello.held if key not in self.orders]
+        self._pending_stops = [key for key in hello.held if not self._is_wanted(key)]
         self.is_connected = True
         self.sent_config_version = -1
         self.sent_entries_version = -1
@@ -121,6 +122,10 @@
             del self.orders[order.order.order_id]
         return missing
 
+    def _is_wanted(self, order_id: int) -> bool:
+        order = self.orders.get(order_id)
+        return order is not None and not order.is_stopping
+
     def detach_stream(self) -> list[OpenOrder]:
         """Mark the agent as disconnected; return the orders that were never sent."""
         self.is_connected = False
@@ -152,12 +157,16 @@
         self.update_pending.set()
 
     def queue_stop(self, order: OpenOrder) -> None:
-        """Add a stop to the next frame, unless one was already added for this order."""
+        """Add a stop to the next frame, unless one was already added for this order.
+
+        Without a stream, the next one begins with the stops of all orders that are stopping.
+        """
         if order.is_stopping:
             return
         order.is_stopping = True
-        self._pending_stops.append(order.order.order_id)
-        self.update_pending.set()
+        if self.is_connected:
+            self._pending_stops.append(order.order.order_id)
+            self.update_pending.set()
 
     def queue_challenge_reply(self, challenge: int) -> None:
         """Answer a challenge in the next frame; 0 means that there is none."""
