Report the starts of open orders again on each new stream

Callers got "the job started too late" although their task was running and would have ended in time, if the stream to its agent had broken just after the start.

An agent removed the report of a start from its list when it wrote the frame. If the stream broke before the frame arrived, the entry took the task for one that waits, and stopped it once a waiting one could not have ended in time. The class is that of the stop that was lost with its stream.

On each new stream an agent now reports the starts of all orders that have not ended. The entry only sets a flag by them, so a repetition changes nothing.

--- a/persimmoncrank/coordination/execution/_entry_links.py
+++ b/persimmoncrank/coordination/execution/_entry_links.py
@@ -64,6 +64,7 @@
         lease_clock: Callable[[], float],
         report: Callable[[EntrySession], WorkerReport | None],
         held_orders: Callable[[str], tuple[int, ...]],
+        started_orders: Callable[[str], tuple[int, ...]],
         order_owners: Callable[[], set[str]],
         on_frame: Callable[[EntrySession, EntryFrame], None],
         on_lease_lost: Callable[[EntrySession, str], None],
@@ -76,6 +77,7 @@
         self._lease_clock = lease_clock
         self._report = report
         self._held_orders = held_orders
+        self._started_orders = started_orders
         self._order_owners = order_owners
         self._on_frame = on_frame
         self._on_lease_lost = on_lease_lost
@@ -220,7 +222,7 @@
         if session is None:
             session = EntrySession(incarnation=incarnation, address=address, lease_s=self._lease_s)
             self.sessions[incarnation] = session
-        session.reset_stream()
+        session.reset_stream(started=self._started_orders(incarnation))
         session.queue_crashes(self._recent_crashes())
         return session
 
--- a/persimmoncrank/coordination/execution/_entry_session.py
+++ b/persimmoncrank/coordination/execution/_entry_session.py
@@ -94,8 +94,13 @@
         """Return the orders whose ends the entry has not acknowledged."""
         return tuple(end.order_id for end in self._unacked_ends.values())
 
-    def reset_stream(self) -> None:
-        """Reset the state for a new stream; unacknowledged ends of orders are sent again."""
+    def reset_stream(self, *, started: Iterable[int]) -> None:
+        """Reset the state for a new stream.
+
+        Unacknowledged ends of orders are sent again, and so are the starts of orders that have not
+        ended: the entry may not have received what an earlier stream carried.
+        """
+        self._started = list(started)
         self._crashes.clear()
         self._challenges.clear()
         self._last_sent_event_id = 0
--- a/persimmoncrank/coordination/execution/_worker_agent.py
+++ b/persimmoncrank/coordination/execution/_worker_agent.py
@@ -91,6 +91,7 @@
             lease_clock=ports.lease_clock,
             report=self._report,
             held_orders=self._held_orders,
+            started_orders=self._started_orders,
             order_owners=self._order_owners,
             on_frame=self._on_frame,
             on_lease_lost=self._on_lease_lost,
@@ -344,6 +345,13 @@
             runs += self.runner.ledger.owned_by(entry)
         return tuple(run.order.order_id for run in runs)
 
+    def _started_orders(self, entry: str) -> tuple[int, ...]:
+        """Return the orders of an entry whose tasks are known to have started and not ended."""
+        if self.runner is None:
+            return ()
+        runs = self.runner.ledger.owned_by(entry)
+        return tuple(run.order.order_id for run in runs if run.is_confirmed)
+
     def _order_owners(self) -> set[str]:
         """Return the incarnations of the entries whose orders the agent holds."""
         owners = {run.owner for run in self._waiting_for_lease}
