Let the worker itself confirm which incarnation it is

A heartbeat alone decided that an incarnation had ended, and which one is next: the agent took any one with a later start for its worker's next incarnation, reported the listed runs as ended without having stopped them, and from then on ignored the worker's own heartbeats as out of date. Ruled out: calls to another address, since the address comes from the settings.

A heartbeat of another incarnation than the known one is now a claim. The agent asks whatever answers at its worker's address, as that incarnation, and takes it over only if the answer has the same start time. The end of an incarnation is noticed by what shows that it has gone: a refused connection, 421, or a list of another start. If heartbeats and lists differ for good, the lists decide.

--- a/persimmoncrank/coordination/execution/_worker_agent.py
+++ b/persimmoncrank/coordination/execution/_worker_agent.py
@@ -11,6 +11,10 @@
 import msgspec
 
 from persimmoncrank.coordination.execution._entry_links import EntryLinks
+from persimmoncrank.coordination.execution._incarnation_claims import (
+    IncarnationClaim,
+    IncarnationClaims,
+)
 from persimmoncrank.coordination.execution._runner_callbacks import RunnerCallbacks
 from persimmoncrank.coordination.execution._worker_runner import WorkerRunner
 from persimmoncrank.protocol import (
@@ -101,6 +105,13 @@
         self._heartbeat: WorkerHeartbeat | None = None
         self._last_heartbeat: WorkerHeartbeat | None = None
         self._heartbeat_at_s = 0.0
+        self._claims = IncarnationClaims(
+            worker_port=ports.worker_port,
+            fence=self._fence,
+            clock=ports.lease_clock,
+            expires_after_s=MAX_HEARTBEAT_AGE * times.heartbeat_interval_s,
+            on_confirmed=self._on_incarnation_confirmed,
+        )
         self._waiting_for_lease: list[Run] = []
         self._lease_awaited = anyio.Event()
         self._worker_changed = anyio.Event()
@@ -111,6 +122,7 @@
         """Serve until ``stop`` is called and all runs have ended."""
         async with anyio.create_task_group() as group:
             group.start_soon(self.links.run)
+            group.start_soon(self._claims.run)
             group.start_soon(self._serve_incarnations)
             group.start_soon(self._run_lease_wait_checks)
             await self._stop.wait()
@@ -132,17 +144,20 @@
     # The worker.
 
     def handle_heartbeat(self, heartbeat: WorkerHeartbeat) -> bool:
-        """Process a heartbeat of the worker; return False if it is out of date."""
+        """Process a heartbeat of the worker; return False if it is out of date.
+
+        One that names another incarnation takes effect once the worker has confirmed it.
+        """
         known = self._heartbeat
-        if known is not None and _heartbeat_version(heartbeat) < _heartbeat_version(known):
+        if known is None or not _is_same_incarnation(known, heartbeat):
+            self._claims.add(heartbeat)
+            return True
+        if heartbeat.sequence < known.sequence:
             log.info(
-                "agent: out-of-date heartbeat ignored worker=%s life=%d seq=%d known_worker=%s"
-                " known_life=%d known_seq=%d",
+                "agent: out-of-date heartbeat ignored worker=%s life=%d seq=%d known_seq=%d",
                 heartbeat.worker,
                 heartbeat.incarnation,
                 heartbeat.sequence,
-                known.worker,
-                known.incarnation,
                 known.sequence,
             )
             return False
@@ -151,26 +166,14 @@
         ):
             log.info("agent: delayed heartbeat ignored worker=%s", heartbeat.worker)
             return False
+        self._apply_heartbeat(known, heartbeat)
+        return True
+
+    def _apply_heartbeat(self, known: WorkerHeartbeat, heartbeat: WorkerHeartbeat) -> None:
+        """Apply a heartbeat of the current incarnation."""
         was_accepting = self._is_accepting()
         self._heartbeat = self._last_heartbeat = heartbeat
         self._heartbeat_at_s = self._ports.lease_clock()
-        if known is None or (known.worker, known.incarnation) != (
-            heartbeat.worker,
-            heartbeat.incarnation,
-        ):
-            log.info(
-                "agent: new worker incarnation worker=%s life=%d service=%s known_worker=%s"
-                " known_life=%d",
-                heartbeat.worker,
-                heartbeat.incarnation,
-                heartbeat.service,
-                known.worker if known is not None else "none",
-                known.incarnation if known is not None else 0,
-            )
-            if self.runner is not None:
-                self.runner.terminate("another incarnation of the worker sent a heartbeat")
-            self._worker_changed.set()
-            return True
         if self.runner is None:
             self._worker_changed.set()
         else:
@@ -181,7 +184,30 @@
             log.info("agent: worker draining worker=%s", heartbeat.worker)
             self._return_queued_orders("the worker is draining")
             self.links.wake_all_senders()
-        return True
+
+    def _on_incarnation_confirmed(self, claim: IncarnationClaim) -> None:
+        """Replace the worker's incarnation by the one that answers at its address."""
+        known, heartbeat = self._heartbeat, claim.heartbeat
+        if known is not None and _is_same_incarnation(known, heartbeat):
+            return
+        log.info(
+            "agent: new worker incarnation worker=%s life=%d service=%s known_worker=%s"
+            " known_life=%d",
+            heartbeat.worker,
+            heartbeat.incarnation,
+            heartbeat.service,
+            known.worker if known is not None else "none",
+            known.incarnation if known is not None else 0,
+        )
+        self._heartbeat = self._last_heartbeat = heartbeat
+        self._heartbeat_at_s = claim.received_at_s
+        if self.runner is not None and not _is_same_incarnation(self.runner.worker, heartbeat):
+            self.runner.terminate("another incarnation answers at the worker's address")
+        self._worker_changed.set()
+
+    def _fence(self) -> int:
+        """Return the fencing token of the calls that are made outside of a runner."""
+        return self._ports.first_fence if self.runner is None else self.runner.fence
 
     def handle_deregistration(self, worker: str) -> None:
         """Process the worker's planned shutdown."""
@@ -461,5 +487,5 @@
     return (worker.service, worker.labels, worker.capacity)
 
 
-def _heartbeat_version(heartbeat: WorkerHeartbeat) -> tuple[int, int]:
-    return (heartbeat.incarnation, heartbeat.sequence)
+def _is_same_incarnation(first: WorkerHeartbeat, second: WorkerHeartbeat) -> bool:
+    return (first.worker, first.incarnation) == (second.worker, second.incarnation)
--- a/persimmoncrank/coordination/execution/_worker_runner.py
+++ b/persimmoncrank/coordination/execution/_worker_runner.py
@@ -106,6 +106,11 @@
         """The free resources; none before the worker has listed its runs."""
         return self.ledger.free if self._connection.is_listed else Demand()
 
+    @property
+    def fence(self) -> int:
+        """The current fencing token of the agent's calls to the worker."""
+        return self._connection.fence
+
     @staticmethod
     def _now() -> float:
         return anyio.current_time()
--- a/persimmoncrank/standin/_worker.py
+++ b/persimmoncrank/standin/_worker.py
@@ -204,18 +204,16 @@
 
         async def start(order: StartRun) -> Result[StartReply, WorkerFault]:
             return await self._call(
-                worker.incarnation,
+                worker,
                 lambda is_late: self._start(order, is_late=is_late),
                 is_order=True,
             )
 
         async def stop(run: RunRef, fence: int) -> Result[int, WorkerFault]:
-            return await self._call(
-                worker.incarnation, lambda _is_late: self._stop(run, fence), is_order=True
-            )
+            return await self._call(worker, lambda _is_late: self._stop(run, fence), is_order=True)
 
         async def renew(renewal: Renewal) -> Result[RunList, WorkerFault]:
-            return await self._renew(worker.incarnation, renewal)
+            return await self._renew(worker, renewal)
 
         return WorkerPort(start=start, stop=stop, renew=renew)
 
@@ -225,19 +223,19 @@
         return int((anyio.current_time() - self._clock_origin_s) * 1000)
 
     async def _call(
-        self, incarnation: int, execute: Callable[[bool], Result], *, is_order: bool
+        self, expected: WorkerHeartbeat, execute: Callable[[bool], Result], *, is_order: bool
     ) -> Result:
         await anyio.sleep(CALL_DELAY_S)
         if self.faults.is_unresponsive:
             await anyio.sleep_forever()
         if self.is_down:
             return _down()
-        if incarnation != self.incarnation:
+        if not self._is_expected(expected):
             return _wrong_incarnation()
         if is_order and self.rng.random() < self.faults.late_share:
             delay_s = self.rng.uniform(MIN_LATE_DELAY_S, MAX_LATE_DELAY_S)
             if self._group is not None:
-                self._group.start_soon(self._execute_later, incarnation, execute, delay_s)
+                self._group.start_soon(self._execute_later, self.incarnation, execute, delay_s)
             await anyio.sleep_forever()
         self._end_due_runs()
         answer = execute(False)
@@ -300,13 +298,18 @@
             running.stops_at_s = anyio.current_time() + STOP_DELAY_S
         return Ok(self.clock_ms)
 
-    async def _renew(self, incarnation: int, renewal: Renewal) -> Result[RunList, WorkerFault]:
+    def _is_expected(self, expected: WorkerHeartbeat) -> bool:
+        return (expected.worker, expected.incarnation) == (self.name, self.incarnation)
+
+    async def _renew(
+        self, expected: WorkerHeartbeat, renewal: Renewal
+    ) -> Result[RunList, WorkerFault]:
         await anyio.sleep(CALL_DELAY_S)
         if self.faults.is_unresponsive:
             await anyio.sleep_forever()
         if self.is_down:
             return _down()
-        if incarnation != self.incarnation:
+        if not self._is_expected(expected):
             return _wrong_incarnation()
         if renewal.fence < self._fence:
             fault = WorkerFault(
@@ -323,7 +326,7 @@
         if self.is_down:
             fault = WorkerFault(kind=WorkerFaultKind.NO_ANSWER, message="the connection was closed")
             return Err(fault)
-        if incarnation != self.incarnation:
+        if not self._is_expected(expected):
             return _wrong_incarnation()
         self._end_due_runs()
         answer = RunList(
