Treat a deregistration as draining until the worker has gone

Tasks of a worker that deregistered ran twice at the same time if it still worked on them for a while, and also if the deregistration had been delayed or came from another writer. Callers saw no error; the work was done twice.

A deregistration carries only an id. The agent took it for the end of the worker and reported all runs as ended, though they end only with the worker. The class is that of heartbeats of other writers.

A deregistration now drains the worker. Its runs end once it has gone, which a refused connection, 421, a list of another start or the end of the lease shows; a heartbeat that says otherwise makes it usable again.

Both cases of test_tasks_of_a_worker_that_has_deregistered_run_twice failed before: overlapping runs, and a seventh run of six tasks.

--- a/persimmoncrank/coordination/execution/_worker_agent.py
+++ b/persimmoncrank/coordination/execution/_worker_agent.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -181,7 +182,11 @@
         if self._is_accepting() is not was_accepting:
             self.links.wake_all_senders()
         if known.is_draining != heartbeat.is_draining:
-            log.info("agent: worker draining worker=%s", heartbeat.worker)
+            log.info(
+                "agent: worker draining worker=%s draining=%s",
+                heartbeat.worker,
+                heartbeat.is_draining,
+            )
             self._return_queued_orders("the worker is draining")
             self.links.wake_all_senders()
 
@@ -210,11 +215,13 @@
         return self._ports.first_fence if self.runner is None else self.runner.fence
 
     def handle_deregistration(self, worker: str) -> None:
-        """Process the worker's planned shutdown."""
-        if self._heartbeat is not None and self._heartbeat.worker == worker:
-            self._heartbeat = None
-            if self.runner is not None:
-                self.runner.terminate("the worker shut down", is_planned=True)
+        """Drain the worker, which is about to end; its runs are active until it has ended."""
+        known = self._heartbeat
+        if known is None or known.worker != worker:
+            log.info("agent: deregistration ignored worker=%s", worker)
+            return
+        log.info("agent: worker deregistered worker=%s life=%d", worker, known.incarnation)
+        self._apply_heartbeat(known, dataclasses.replace(known, is_draining=True))
 
     async def _serve_incarnations(self) -> None:
         """Run a runner for each incarnation of the worker in turn."""
--- a/persimmoncrank/coordination/execution/_worker_runner.py
+++ b/persimmoncrank/coordination/execution/_worker_runner.py
@@ -127,19 +127,17 @@
             for run, outcome, cause in self._doubtful_runs:
                 group.start_soon(self._settle_doubtful_run, run, outcome, cause)
 
-    def terminate(
-        self, cause: str, *, is_planned: bool = False, down_since_s: float | None = None
-    ) -> None:
+    def terminate(self, cause: str, *, down_since_s: float | None = None) -> None:
         """End all runs, since this incarnation of the worker no longer exists.
 
-        Unless the worker was draining or its end was planned, it has crashed. Starts that are still
-        being sent to a worker that is down have had no effect on this incarnation. The end of a run
-        that this incarnation has not listed is reported once it is not active on the next one.
+        Unless the worker was draining, it has crashed. Starts that are still being sent to a worker
+        that is down have had no effect on this incarnation. The end of a run that this incarnation
+        has not listed is reported once it is not active on the next one.
         """
         if self.is_terminated:
             return
         self.is_terminated = True
-        has_crashed = not (is_planned or self.worker.is_draining)
+        has_crashed = not self.worker.is_draining
         active = list(self.ledger.active.values())
         unsent = [run for run in active if is_sent_after(run, down_since_s)]
         active = [run for run in active if run not in unsent]
--- a/persimmoncrank/tests/test_foreign_heartbeats.py
+++ b/persimmoncrank/tests/test_foreign_heartbeats.py
@@ -102,3 +102,32 @@
             assert agent.runner.worker.incarnation == worker.incarnation
 
     run_scenario(scenario, entries=1, agents=1, cores=4)
+
+
+# The runs of a worker that has deregistered are repeated elsewhere while it still works on them.
+@pytest.mark.parametrize("ends", [True, False], ids=["ends later", "does not end"])
+def test_tasks_of_a_worker_that_has_deregistered_run_twice(*, ends: bool) -> None:
+    async def scenario(world: WorkerWorld) -> None:
+        world.run_s = lambda _task: RUN_S
+        worker, agent = world.workers["a0"], world.agents["a0"].node
+
+        async def deregister() -> None:
+            await anyio.sleep(0.3)
+            assert worker.has_runs
+            worker.is_draining = ends
+            agent.handle_deregistration(worker.name)
+            await anyio.sleep(0.3)
+            if ends:
+                worker.crash(down_s=9.0)
+
+        world.group.start_soon(deregister)
+        answer = await world.submit("e0", make_worker_job("0" * 16, tasks=6))
+        assert answer is not None
+        assert answer.is_completed
+        assert agent.counters.worker_crashes == 0
+        if not ends:
+            assert sum(len(worker.history) for worker in world.workers.values()) == 6
+            await anyio.sleep(HEARTBEAT_S)
+            assert accepting_workers(world) == set(world.workers)
+
+    run_scenario(scenario, entries=1, agents=4, cores=4)
