Let histories and the soak reset connections and send heartbeats of other writers

Callers are now disconnected together with streams, and workers deregister while they still work. The soak sends heartbeats and deregistrations of other writers. Two mutations, which forget the stops of an earlier stream and believe each heartbeat, are detected.

--- a/persimmoncrank/bench/_worker_world.py
+++ b/persimmoncrank/bench/_worker_world.py
@@ -244,6 +244,7 @@
     unanswered: set[str] = field(default_factory=set)
     restrictions: list[Restriction] = field(default_factory=list)
     versions: list[tuple[str, int]] = field(default_factory=list)
+    callers: list[anyio.CancelScope] = field(default_factory=list)
     _config_version: int = 1
     _withdrawn: tuple[str, ...] = ()
     _incarnation_numbers: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
@@ -431,7 +432,10 @@
             process.scope.cancel()
 
     async def submit(self, entry: str, job: WorkerJob) -> WorkerJobAnswer | None:
-        """Submit a job once; return None if the entry is not running or ends before it answers."""
+        """Submit a job once; return None if there is no answer.
+
+        That is the case if the entry is not running or ends, or if the caller is disconnected.
+        """
         for number, step in enumerate(job.steps):
             self.demands[f"{job.job_id}.{number}"] = step.demand
         if entry not in self.entries:
@@ -444,10 +448,12 @@
                 answer.append(await process.node.run_job(job))
                 group.cancel_scope.cancel()
 
+            self.callers.append(group.cancel_scope)
             group.start_soon(run)
             while not process.scope.cancel_called:
                 await anyio.sleep(0.005)
             group.cancel_scope.cancel()
+        self.callers.remove(group.cancel_scope)
         return answer[0] if answer else None
 
     async def submit_until_answered(self, job: WorkerJob, *, tries: int = 6) -> WorkerJobAnswer:
--- a/persimmoncrank/tests/test_worker_histories.py
+++ b/persimmoncrank/tests/test_worker_histories.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 from functools import partial
 from typing import TYPE_CHECKING, Any
@@ -71,6 +72,44 @@
     world.network.reset(rng.choice(sorted({*world.workers, *world.entries})))
 
 
+async def reset_connections(world: WorkerWorld, rng: random.Random) -> None:
+    """Reset the streams of most agents, and the connections of half of the callers.
+
+    What is on its way is lost. The callers send their jobs again.
+    """
+    for name in sorted(world.workers):
+        if rng.random() < 0.7:
+            world.network.reset(name, loses_messages=True)
+    for scope in rng.sample(world.callers, len(world.callers) // 2):
+        scope.cancel()
+
+
+async def send_foreign_heartbeats(world: WorkerWorld, rng: random.Random) -> None:
+    """Send heartbeats of other workers and incarnations to an agent."""
+    name = rng.choice(sorted(world.workers))
+    own = world.workers[name].heartbeat()
+    foreign = [
+        dataclasses.replace(own, worker="x-1", service="ledger", incarnation=99),
+        dataclasses.replace(own, worker="x-1", incarnation=0, is_draining=True),
+        dataclasses.replace(own, incarnation=own.incarnation + 1, sequence=1),
+        dataclasses.replace(own, incarnation=own.incarnation - 1),
+    ]
+    rng.shuffle(foreign)
+    for heartbeat in foreign:
+        if name in world.agents:
+            world.agents[name].node.handle_heartbeat(heartbeat)
+        await anyio.sleep(rng.uniform(0.0, 0.3))
+
+
+async def deregister_worker(world: WorkerWorld, rng: random.Random) -> None:
+    """Let a worker deregister that works on for a moment before it starts again."""
+    name = rng.choice(sorted(world.workers))
+    if name in world.agents:
+        world.agents[name].node.handle_deregistration(world.workers[name].name)
+    await anyio.sleep(rng.uniform(0.0, 0.5))
+    world.workers[name].crash()
+
+
 async def stall_streams(world: WorkerWorld, _rng: random.Random) -> None:
     """Stop delivery on all open streams for good, without closing them."""
     world.network.stall_open_streams()
@@ -187,6 +226,9 @@
     partition_agent,
     partition_agent_and_entry,
     reset_streams,
+    reset_connections,
+    send_foreign_heartbeats,
+    deregister_worker,
     stall_streams,
     execute_orders_late,
     lose_answers,
--- a/persimmoncrank/tests/test_worker_mutations.py
+++ b/persimmoncrank/tests/test_worker_mutations.py
@@ -15,7 +15,7 @@
     JobTask,
     _worker_choice,
 )
-from persimmoncrank.coordination.execution import WorkerAgent
+from persimmoncrank.coordination.execution import WorkerAgent, _incarnation_claims
 from persimmoncrank.coordination.execution._entry_links import EntryLinks
 from persimmoncrank.coordination.execution._entry_session import EntrySession
 from persimmoncrank.coordination.execution._worker_runner import WorkerRunner
@@ -100,7 +100,23 @@
     monkeypatch.setattr(WorkerRunner, "update_worker", update_worker)
 
 
+def forget_stops_of_earlier_streams(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Send a stop only on the stream that is open when it is requested."""
+    monkeypatch.setattr(AgentLink, "_is_wanted", lambda link, order_id: order_id in link.orders)
+
+
+def believe_heartbeats(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Take each heartbeat for one of the worker's current incarnation."""
+
+    async def confirm(*_args: Any, **_options: Any) -> bool:
+        return True
+
+    monkeypatch.setattr(_incarnation_claims, "_answers_as", confirm)
+
+
 CASES = [
+    (forget_stops_of_earlier_streams, histories.reset_connections),
+    (believe_heartbeats, histories.send_foreign_heartbeats),
     (ignore_shrunk_capacity, histories.shrink_worker),
     (skip_eligibility_checks, histories.withdraw_domain),
     (skip_eligibility_checks, histories.drain_worker),
