Start nothing for callers that left while the entry did not run

A request and the end of its connection wait in the same socket, and the end is read in the next pass of the event loop at the earliest. In between the job was admitted and its tasks were ordered. Ruled out: the deadline, since a caller that leaves at its deadline closes its connection.

An entry now notices that it did not run for 0.4 s or more, also in suspension, and logs it. For 5 s after that it admits a job only some passes of the event loop after its request was read; if the caller has left, the request ends before.

--- a/persimmoncrank/commands/_dispatch_agent.py
+++ b/persimmoncrank/commands/_dispatch_agent.py
@@ -10,7 +10,13 @@
 
 import anyio
 
-from persimmoncrank.commands._dispatch_role import SHUTDOWN_MARGIN_S, ReadSeeds, lease_s, run_role
+from persimmoncrank.commands._dispatch_role import (
+    SHUTDOWN_MARGIN_S,
+    ReadSeeds,
+    boot_time_s,
+    lease_s,
+    run_role,
+)
 from persimmoncrank.commands._incarnations import new_incarnation
 from persimmoncrank.coordination.execution import AgentPorts, LeaseTimes, WorkerAgent
 from persimmoncrank.protocol import AgentHello, EntryFrame, WorkerHeartbeat, WorkerPort
@@ -33,11 +39,6 @@
     port: Callable[[WorkerHeartbeat], WorkerPort]
 
 
-def _boot_time_s() -> float:
-    """Return the time since boot, including time during which the machine is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 def run_dispatch_agent(
     settings: DispatchAgentSettings, worker: WorkerPorts, read_seeds: ReadSeeds
 ) -> None:
@@ -60,7 +61,7 @@
         ports=AgentPorts(
             dial=stream_dialer(EntryFrame),
             worker_port=worker.port,
-            lease_clock=_boot_time_s,
+            lease_clock=boot_time_s,
             first_fence=time.time_ns() // 1_000_000,
         ),
         times=LeaseTimes(
--- a/persimmoncrank/commands/_dispatch_entry.py
+++ b/persimmoncrank/commands/_dispatch_entry.py
@@ -11,7 +11,13 @@
 
 import anyio
 
-from persimmoncrank.commands._dispatch_role import SHUTDOWN_MARGIN_S, ReadSeeds, lease_s, run_role
+from persimmoncrank.commands._dispatch_role import (
+    SHUTDOWN_MARGIN_S,
+    ReadSeeds,
+    boot_time_s,
+    lease_s,
+    run_role,
+)
 from persimmoncrank.commands._incarnations import new_incarnation
 from persimmoncrank.coordination.configuration import (
     PeerPorts,
@@ -110,6 +116,7 @@
         times=DispatchTimes(entry_lease_s=lease, worker_lease_s=lease),
         remote_data_factor=settings.remote_data_factor,
         on_new_crash=crashes.put,
+        pause_clock=boot_time_s,
     )
     replica.on_change = _config_setter(dispatcher, store)
     follower = TableFollower(table=store.operator_table, feed=store.feed, replica=replica)
--- a/persimmoncrank/commands/_dispatch_role.py
+++ b/persimmoncrank/commands/_dispatch_role.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+import time
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -34,6 +35,11 @@
     return min(MAX_LEASE_S, LEASE_FRACTION * settings.resend_s, settings.worker_lease_limit_s)
 
 
+def boot_time_s() -> float:
+    """Return the time since boot, including time during which the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def run_role(serve: Callable[[anyio.Event], Awaitable[None]], settings: DispatchSettings) -> None:
     """Run a role until SIGTERM or SIGINT, which set the event that ``serve`` receives."""
     handler = BufferedLogHandler(descriptor=STDOUT_FD)
--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -22,6 +22,7 @@
     describe_shortage,
     is_unservable,
 )
+from persimmoncrank.coordination.dispatch._pauses import PauseDetector
 from persimmoncrank.coordination.dispatch._routing import Routing
 from persimmoncrank.coordination.dispatch._worker_choice import (
     ChooseWorker,
@@ -80,10 +81,12 @@
         remote_data_factor: float = 1.0,
         routing: Routing | None = None,
         on_new_crash: Callable[[WorkerCrash], None] = lambda _crash: None,
+        pause_clock: Callable[[], float] = anyio.current_time,
     ) -> None:
         """Create a dispatcher without agents and queues.
 
-        ``on_new_crash`` is called with the crashes that this entry should store.
+        ``on_new_crash`` is called with the crashes that this entry should store. ``pause_clock`` is
+        a clock in seconds that also counts time during which the machine was suspended.
         """
         self.entry = entry
         self._on_new_crash = on_new_crash
@@ -108,6 +111,7 @@
         self._duration_estimator = DurationEstimator()
         self._order_ids = itertools.count(1)
         self._placement_requested = anyio.Event()
+        self._pauses = PauseDetector(clock=pause_clock)
 
     async def run(self) -> None:
         """Place tasks and check jobs and agents until cancelled."""
@@ -154,6 +158,7 @@
 
         A repeated call with the id of a running job waits for that job's answer.
         """
+        await self._pauses.wait_for_disconnects()
         run = self.jobs.get(job.job_id)
         if run is None:
             answer = crash_answer(self.crashes, job.job_id)
@@ -477,6 +482,7 @@
     async def _run_checks(self) -> None:
         while True:
             await anyio.sleep(CHECK_INTERVAL_S)
+            self._pauses.observe()
             now_s = anyio.current_time()
             self.streams.expire_links(now_s)
             for run in list(self.jobs.values()):
