Pass a cancel on to the entry that runs the job

PROTOCOL.md says of 410 that no such job exists, and UNASKED holds for jobs that need not be kept too.

An entry took the jobs that it knows for all there are. Ruled out: a cancel that is lost at the entry of the job, where all tasks are stopped within 0.1 s.

A cancel of a job that does not run here now goes to all other entries at once, over the stream on which they exchange copies of the configuration; its messages have a new, last field each, which processes of the previous version ignore. The answer is 410 only if all entries say that they do not run the job. Otherwise it is 200, and those that have not answered are told again until they do.

--- a/persimmoncrank/commands/_dispatch_entry.py
+++ b/persimmoncrank/commands/_dispatch_entry.py
@@ -22,10 +22,13 @@
 from persimmoncrank.coordination.configuration import (
     PeerPorts,
     TableFollower,
+    ask_peer,
     follow_peers,
     serve_copy,
 )
 from persimmoncrank.coordination.dispatch import (
+    CancellationPorts,
+    CancellationSpread,
     Dispatcher,
     DispatchTimes,
     EntryDirectory,
@@ -110,6 +113,9 @@
     def config_age_s() -> float:
         return replica.age_s(now_s=anyio.current_time())
 
+    async def cancel_elsewhere(job_id: str, *, is_found: bool) -> bool:
+        return await spread.cancel(job_id, is_found=is_found)
+
     dispatcher = Dispatcher(
         entry=entry,
         routing=Routing(age_s=config_age_s),
@@ -117,6 +123,7 @@
         remote_data_factor=settings.remote_data_factor,
         on_new_crash=crashes.put,
         pause_clock=boot_time_s,
+        cancel_elsewhere=cancel_elsewhere,
     )
     replica.on_change = _config_setter(dispatcher, store)
     follower = TableFollower(table=store.operator_table, feed=store.feed, replica=replica)
@@ -127,8 +134,17 @@
         entries=directory.entries,
         on_reply=directory.set_named,
         on_request=directory.add_requester,
+        on_cancelled=dispatcher.cancel_all,
     )
 
+    async def tell_cancelled(
+        peer: EntryAddress, job_ids: tuple[str, ...]
+    ) -> tuple[str, ...] | None:
+        reply = await ask_peer(peer.peer_address, entry, replica, peers, cancelled=job_ids)
+        return None if reply is None else reply.stopped
+
+    spread = CancellationSpread(ports=CancellationPorts(peers=directory.peers, tell=tell_cancelled))
+
     async def serve_peer(stream: MessageStream) -> None:
         await serve_copy(stream, replica=replica, ports=peers)
 
@@ -186,6 +202,7 @@
         log.info("entry: serving entry=%s lease_ms=%d", entry.incarnation, lease * 1000)
         for task in (
             dispatcher.run,
+            spread.run,
             read_crashes,
             follow_config,
             follow_other_entries,
--- a/persimmoncrank/coordination/configuration/__init__.py
+++ b/persimmoncrank/coordination/configuration/__init__.py
@@ -19,6 +19,7 @@
     )
     from persimmoncrank.coordination.configuration._peer_copies import (
         PeerPorts,
+        ask_peer,
         follow_peers,
         serve_copy,
     )
@@ -33,6 +34,7 @@
     "PeerPorts",
     "TableFollower",
     "applied_key",
+    "ask_peer",
     "follow_peers",
     "serve_copy",
 ]
@@ -46,6 +48,7 @@
     "PeerPorts": "_peer_copies",
     "TableFollower": "_table_follower",
     "applied_key": "_config_writer",
+    "ask_peer": "_peer_copies",
     "follow_peers": "_peer_copies",
     "serve_copy": "_peer_copies",
 }
--- a/persimmoncrank/coordination/configuration/_peer_copies.py
+++ b/persimmoncrank/coordination/configuration/_peer_copies.py
@@ -42,7 +42,8 @@
     """What an entry needs to exchange copies with its peers.
 
     ``addresses`` returns where peers serve copies, ``entries`` the entries to tell peers about, and
-    ``on_reply`` and ``on_request`` receive the entries that peers name.
+    ``on_reply`` and ``on_request`` receive the entries that peers name. ``on_cancelled`` receives
+    the jobs that were cancelled at a peer, and returns those of them that were running here.
     """
 
     dial: DialStream
@@ -50,6 +51,7 @@
     entries: Callable[[], tuple[EntryAddress, ...]]
     on_reply: Callable[[tuple[EntryAddress, ...]], None]
     on_request: Callable[[EntryAddress], None]
+    on_cancelled: Callable[[tuple[str, ...]], tuple[str, ...]] = lambda _job_ids: ()
 
 
 async def serve_copy(stream: MessageStream, *, replica: TableReplica, ports: PeerPorts) -> None:
@@ -66,6 +68,7 @@
         age_s=replica.age_s(now_s=anyio.current_time()),
         rows=tuple(replica.rows.values()) if is_newer else None,
         entries=() if request.known_version >= 0 else ports.entries(),
+        stopped=ports.on_cancelled(request.cancelled),
     )
     await stream.send(reply)
 
@@ -86,7 +89,7 @@
             continue
         async with anyio.create_task_group() as group:
             for address in choose_peers(ports.addresses(), next(offsets)):
-                group.start_soon(_ask_peer, address, entry, replica, ports)
+                group.start_soon(ask_peer, address, entry, replica, ports)
 
 
 def choose_peers(addresses: Sequence[str], offset: int) -> list[str]:
@@ -95,10 +98,20 @@
     return [addresses[(offset + number) % len(addresses)] for number in range(count)]
 
 
-async def _ask_peer(
-    address: str, entry: EntryAddress, replica: TableReplica, ports: PeerPorts
-) -> None:
-    request = CopyRequest(entry=entry, known_version=replica.version, known_digest=replica.digest)
+async def ask_peer(
+    address: str,
+    entry: EntryAddress,
+    replica: TableReplica,
+    ports: PeerPorts,
+    cancelled: tuple[str, ...] = (),
+) -> CopyReply | None:
+    """Tell a peer of cancelled jobs, take over a newer copy, and return its reply, if any."""
+    request = CopyRequest(
+        entry=entry,
+        known_version=replica.version,
+        known_digest=replica.digest,
+        cancelled=cancelled,
+    )
     reply: CopyReply | None = None
     asked_at_s = anyio.current_time()
     try:
@@ -112,6 +125,7 @@
         _apply_reply(reply, address, replica, asked_at_s=asked_at_s)
         if reply.entries:
             ports.on_reply(reply.entries)
+    return reply
 
 
 def _apply_reply(
--- a/persimmoncrank/coordination/dispatch/__init__.py
+++ b/persimmoncrank/coordination/dispatch/__init__.py
@@ -4,6 +4,10 @@
 
 from persimmoncrank.coordination.dispatch._agent_link import AgentLink
 from persimmoncrank.coordination.dispatch._agent_streams import DispatchTimes
+from persimmoncrank.coordination.dispatch._cancellation_spread import (
+    CancellationPorts,
+    CancellationSpread,
+)
 from persimmoncrank.coordination.dispatch._crash_store import load_crashes, store_crashes
 from persimmoncrank.coordination.dispatch._directory import (
     EntryDirectory,
@@ -21,6 +25,8 @@
 
 __all__ = [
     "AgentLink",
+    "CancellationPorts",
+    "CancellationSpread",
     "ChooseWorker",
     "DispatchTimes",
     "Dispatcher",
--- a/persimmoncrank/coordination/dispatch/_directory.py
+++ b/persimmoncrank/coordination/dispatch/_directory.py
@@ -59,6 +59,15 @@
         known = {entry.address: entry for entry in (*self._stored, *requesters, self._own)}
         return tuple(known.values())
 
+    def peers(self) -> tuple[EntryAddress, ...]:
+        """Return the other entries that serve peers, one for each address."""
+        known = {entry.peer_address: entry for entry in (*self._named, *self.entries())}
+        return tuple(
+            entry
+            for address, entry in known.items()
+            if address and address != self._own.peer_address
+        )
+
     def set_stored(self, entries: Iterable[EntryAddress]) -> None:
         """Set the registered entries."""
         self._stored = _dialable(entries)
--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -4,7 +4,7 @@
 
 import itertools
 import logging
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import anyio
 
@@ -51,6 +51,7 @@
     refusal,
 )
 from persimmoncrank.state import (
+    CancelledJobs,
     CrashHistory,
     DurationEstimator,
     EntryCounters,
@@ -69,6 +70,13 @@
 MAX_UNPLACED_STEPS = 8  # per pass; bounds its cost when most tasks wait for certain workers
 
 
+class CancelElsewhere(Protocol):
+    """Cancels a job at the other entries; ``is_found`` tells that it was running at this one."""
+
+    async def __call__(self, job_id: str, *, is_found: bool) -> bool:
+        """Return False if it is known that no entry runs the job."""
+
+
 class Dispatcher:
     """Coordinates the jobs submitted to one entry."""
 
@@ -82,11 +90,13 @@
         routing: Routing | None = None,
         on_new_crash: Callable[[WorkerCrash], None] = lambda _crash: None,
         pause_clock: Callable[[], float] = anyio.current_time,
+        cancel_elsewhere: CancelElsewhere | None = None,
     ) -> None:
         """Create a dispatcher without agents and queues.
 
         ``on_new_crash`` is called with the crashes that this entry should store. ``pause_clock`` is
         a clock in seconds that also counts time during which the machine was suspended.
+        ``cancel_elsewhere`` cancels a job at the other entries.
         """
         self.entry = entry
         self._on_new_crash = on_new_crash
@@ -112,6 +122,8 @@
         self._order_ids = itertools.count(1)
         self._placement_requested = anyio.Event()
         self._pauses = PauseDetector(clock=pause_clock)
+        self._cancel_elsewhere = cancel_elsewhere
+        self.cancelled_jobs = CancelledJobs()
 
     async def run(self) -> None:
         """Place tasks and check jobs and agents until cancelled."""
@@ -188,8 +200,20 @@
         log.info("entry: job failed on arrival job=%s cause=%s", job.job_id, cause)
         return answer
 
+    async def cancel_anywhere(self, job_id: str) -> bool:
+        """Cancel a job at whichever entry runs it; return False if it is known that none does."""
+        is_found = self.cancel(job_id)
+        if self._cancel_elsewhere is None:
+            return is_found
+        return await self._cancel_elsewhere(job_id, is_found=is_found)
+
+    def cancel_all(self, job_ids: Iterable[str]) -> tuple[str, ...]:
+        """Cancel jobs; return those that were running at this entry."""
+        return tuple(job_id for job_id in job_ids if self.cancel(job_id))
+
     def cancel(self, job_id: str) -> bool:
         """Cancel a job; return False if it is not running at this entry."""
+        self.cancelled_jobs.add([job_id], now_s=anyio.current_time())
         run = self.jobs.get(job_id)
         if run is None:
             return False
--- a/persimmoncrank/protocol/_peers.py
+++ b/persimmoncrank/protocol/_peers.py
@@ -1,4 +1,4 @@
-"""Messages between entries, by which one gets the operator's table that it cannot read itself."""
+"""Messages between entries: copies of the operator's table, and jobs that were cancelled."""
 
 from __future__ import annotations
 
@@ -17,11 +17,13 @@
 
     ``entry`` is the sender. The rows are sent only if they are newer than ``known_version`` and
     differ from those with ``known_digest``. A negative version means that the sender has no copy.
+    ``cancelled`` are the ids of jobs that were cancelled at the sender.
     """
 
     entry: EntryAddress
     known_version: int
     known_digest: int
+    cancelled: tuple[str, ...] = ()
 
 
 class CopyReply(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -29,10 +31,11 @@
 
     ``version`` is the store's version of it, negative if there is none. ``age_s`` is the time since
     the store confirmed it. ``entries`` are those that the sender knows; only an entry without a
-    copy is told of them.
+    copy is told of them. ``stopped`` are those of the cancelled jobs that were running here.
     """
 
     version: int
     age_s: float
     rows: tuple[Row, ...] | None = None
     entries: tuple[EntryAddress, ...] = ()
+    stopped: tuple[str, ...] = ()
--- a/persimmoncrank/state/__init__.py
+++ b/persimmoncrank/state/__init__.py
@@ -15,6 +15,7 @@
     from persimmoncrank.state._breaker import (
         Breaker,
     )
+    from persimmoncrank.state._cancelled_jobs import CancelledJobs
     from persimmoncrank.state._counters import (
         AgentCounters,
         EntryCounters,
@@ -75,6 +76,7 @@
     "AgentView",
     "AgentViews",
     "Breaker",
+    "CancelledJobs",
     "CommonKind",
     "CrashHistory",
     "CrashVerdict",
@@ -119,6 +121,7 @@
     "AgentView": "_agent_views",
     "AgentViews": "_agent_views",
     "Breaker": "_breaker",
+    "CancelledJobs": "_cancelled_jobs",
     "DurationEstimator": "_duration_estimator",
     "EntryCounters": "_counters",
     "Freshness": "_freshness",
