Remember cancelled jobs at all entries

PROTOCOL.md: "It remains one job."

An entry kept nothing of a job that had ended. Ruled out: an order that was under way at the time of the cancel, since the other entry ordered the runs seconds later.

--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -173,7 +173,7 @@
         await self._pauses.wait_for_disconnects()
         run = self.jobs.get(job.job_id)
         if run is None:
-            answer = crash_answer(self.crashes, job.job_id)
+            answer = self._early_answer(job.job_id)
             if answer is not None:
                 return self._answer_on_arrival(job, answer)
             error = admission_error(job, leave_deadline_s=self._leave_deadline_s)
@@ -192,8 +192,14 @@
                 self._abort(run, "the caller left or its time is over")
         return run.answer or _deadline_exceeded("the job's deadline has passed")
 
+    def _early_answer(self, job_id: str) -> WorkerJobAnswer | None:
+        """Return the answer of a job that was cancelled or given up before it arrived here."""
+        if job_id in self.cancelled_jobs:
+            return WorkerJobAnswer(cause="cancelled")
+        return crash_answer(self.crashes, job_id)
+
     def _answer_on_arrival(self, job: WorkerJob, answer: WorkerJobAnswer) -> WorkerJobAnswer:
-        """Count and return the answer of a job that is not admitted since it has failed before."""
+        """Count and return the answer of a job that is not admitted."""
         error = answer.error
         self.counters.jobs_failed[error.kind if error else ErrorKind.TASK_FAILED] += 1
         cause = error.message if error else answer.cause
