Move the placement of pending tasks out of the dispatcher

The pending tasks, the choice of their workers and their orders are now in _task_placement.py; the dispatcher keeps jobs, answers and crashes. No behaviour changes; the test of leases on demand replaces the choice of a worker where it is now kept.

--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -2,19 +2,13 @@
 
 from __future__ import annotations
 
-import itertools
 import logging
 from typing import TYPE_CHECKING, Protocol
 
 import anyio
 
-from persimmoncrank.coordination.dispatch._agent_link import AgentLink, OpenOrder
 from persimmoncrank.coordination.dispatch._agent_streams import AgentStreams, DispatchTimes
-from persimmoncrank.coordination.dispatch._containment import (
-    Containment,
-    choose_confined,
-    choose_for_trial,
-)
+from persimmoncrank.coordination.dispatch._containment import Containment
 from persimmoncrank.coordination.dispatch._crash_answers import crash_answer, untried_cause
 from persimmoncrank.coordination.dispatch._job_checks import (
     RETRY_AFTER_MS,
@@ -24,12 +18,11 @@
 )
 from persimmoncrank.coordination.dispatch._pauses import PauseDetector
 from persimmoncrank.coordination.dispatch._routing import Routing
+from persimmoncrank.coordination.dispatch._task_placement import TaskPlacement
 from persimmoncrank.coordination.dispatch._worker_choice import (
     ChooseWorker,
     choose_worker,
     is_eligible,
-    is_near_data,
-    run_time_s,
 )
 from persimmoncrank.coordination.dispatch._worker_jobs import (
     JobRun,
@@ -43,7 +36,6 @@
     OrderOutcome,
     QueueTable,
     ServiceError,
-    TaskOrder,
     TaskRef,
     WorkerCrash,
     WorkerJob,
@@ -61,13 +53,12 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from persimmoncrank.coordination.dispatch._agent_link import AgentLink, OpenOrder
+
 log = logging.getLogger(__name__)
 
 CHECK_INTERVAL_S = 0.05
-# A probe may wait this long at a full worker, where a task of high priority gets the next room.
-PROBE_WAIT_S = 0.04
 PROBE_PAUSE_S = 1.0  # after a worker has refused a probe
-MAX_UNPLACED_STEPS = 8  # per pass; bounds its cost when most tasks wait for certain workers
 
 
 class CancelElsewhere(Protocol):
@@ -102,7 +93,6 @@
         self._on_new_crash = on_new_crash
         self._remote_data_factor = remote_data_factor
         self.jobs: dict[str, JobRun] = {}
-        self.pending: list[JobTask] = []
         self.routing = routing or Routing()
         self._leave_deadline_s: float | None = None
         self.streams = AgentStreams(
@@ -110,25 +100,37 @@
             times=times,
             on_order_end=self._handle_order_end,
             on_crash=self._handle_crash,
-            on_update=self._on_agent_update,
+            on_update=self._request_placement,
         )
         self.links = self.streams.links
         self.crashes = CrashHistory()
         self.containment = Containment(crashes=self.crashes)
         self.counters = EntryCounters()
         self.job_times = LatencyHistogram()
-        self._choose = choose
         self._duration_estimator = DurationEstimator()
-        self._order_ids = itertools.count(1)
-        self._placement_requested = anyio.Event()
+        self._placement = TaskPlacement(
+            streams=self.streams,
+            routing=self.routing,
+            containment=self.containment,
+            counters=self.counters,
+            choose=choose,
+        )
         self._pauses = PauseDetector(clock=pause_clock)
         self._cancel_elsewhere = cancel_elsewhere
         self.cancelled_jobs = CancelledJobs()
 
+    @property
+    def pending(self) -> list[JobTask]:
+        """The tasks that wait for a worker."""
+        return self._placement.pending
+
+    def _request_placement(self) -> None:
+        self._placement.request()
+
     async def run(self) -> None:
         """Place tasks and check jobs and agents until cancelled."""
         async with anyio.create_task_group() as group:
-            group.start_soon(self._run_placement)
+            group.start_soon(self._placement.run)
             await self._run_checks()
 
     # Configuration and members.
@@ -264,21 +266,17 @@
             len(self.pending),
             job.steps[0].rack or "none",
         )
-        self._add_pending(run.release_ready_tasks())
-        self._place_pending()
+        self._placement.add(run.release_ready_tasks())
+        self._placement.place()
         return run
 
-    def _add_pending(self, tasks: Iterable[JobTask]) -> None:
-        self.pending.extend(tasks)
-        self.pending.sort(key=_placement_key)
-
     def _finish(self, run: JobRun, answer: WorkerJobAnswer) -> None:
         """Set a job's answer and stop its open orders."""
         if run.is_answered:
             return
         run.finish(answer)
         self.jobs.pop(run.job.job_id, None)
-        self.pending = [task for task in self.pending if task.job is not run]
+        self._placement.remove(run)
         self._stop_orders(run)
         self._count_answer(run, answer)
         log.info(
@@ -321,108 +319,8 @@
     def _abort(self, run: JobRun, cause: str) -> None:
         self._finish(run, _deadline_exceeded(cause))
 
-    # Placement.
-
-    async def _run_placement(self) -> None:
-        while True:
-            await self._placement_requested.wait()
-            self._placement_requested = anyio.Event()
-            self._place_pending()
-
-    def _place_pending(self) -> None:
-        """Place pending tasks in order until no worker has capacity for the next one.
-
-        A task that only certain workers may run, or run in time, does not block the tasks behind
-        it; its agents start waiting orders by priority. Neither does one whose trial has to wait.
-        """
-        now_s = anyio.current_time()
-        self.containment.update(self.links.values(), now_s=now_s)
-        full_pools: set[bool] = set()
-        unplaced: list[JobTask] = []
-        unplaced_steps: set[int] = set()
-        for number, task in enumerate(self.pending):
-            is_confined = self.containment.is_confined(task)
-            if is_confined in full_pools or id(task.step) in unplaced_steps:
-                unplaced.append(task)
-                continue
-            is_suspect = self.containment.is_suspect(task)
-            link = self._find_worker(task, is_suspect=is_suspect, now_s=now_s)
-            if link is not None:
-                self._order_task(task, link, is_trial=is_suspect, now_s=now_s)
-                continue
-            unplaced.append(task)
-            if is_suspect:
-                continue
-            unplaced_steps.add(id(task.step))
-            if not _is_selective(task) or len(unplaced_steps) >= MAX_UNPLACED_STEPS:
-                full_pools.add(is_confined)
-            if len(full_pools) == self.containment.pool_count:
-                unplaced += self.pending[number + 1 :]
-                break
-        self.pending = unplaced
-
-    def _find_worker(self, task: JobTask, *, is_suspect: bool, now_s: float) -> AgentLink | None:
-        """Return the worker for a pending task, or None if it has to wait."""
-        if is_suspect and not self.containment.may_try(self.links.values(), now_s=now_s):
-            return None
-        candidates = (
-            self.links.values()
-            if is_suspect
-            else self.streams.index.candidates(task.step.label or task.step.rack, now_s=now_s)
-        )
-        choose = self._choose
-        if is_suspect:
-            choose = choose_for_trial
-        elif self.containment.is_confined(task):
-            choose = choose_confined
-        links = self.containment.usable_links(task, candidates)
-        return choose(task, links, withdrawn=self.routing.withdrawn, now_s=now_s)
-
-    def _order_task(self, task: JobTask, link: AgentLink, *, is_trial: bool, now_s: float) -> None:
-        job, report = task.job, link.report
-        is_probe = not link.is_current(now_s=now_s)
-        start_within_s = max(job.useful_until_s - now_s, 0.0)
-        order = TaskOrder(
-            order_id=next(self._order_ids),
-            worker_incarnation=report.worker_incarnation if report else 0,
-            ref=task.ref,
-            payload=job.job.payload,
-            demand=task.demand,
-            priority=job.job.queue.priority,
-            rank=job.latest_start_s - now_s,
-            nominal_s=run_time_s(task, link),
-            start_within_s=min(start_within_s, PROBE_WAIT_S) if is_probe else start_within_s,
-            kind=task.kind,
-        )
-        if is_trial:
-            self.containment.start_trial(order.order_id, now_s=now_s)
-            self.counters.trials += 1
-        task.state = TaskState.ORDERED
-        task.order_id = order.order_id
-        open_order = OpenOrder(task=task, order=order, is_probe=is_probe)
-        job.open_orders[order.order_id] = link.hello.incarnation
-        link.queue_start(open_order, now_s=now_s)
-        self.counters.tasks_placed += 1
-        log.info(
-            "placement: task ordered job=%s task=%d.%d worker=%s slowness=%.2f free_cpu=%d"
-            " report_age_ms=%d near_data=%s trial=%s",
-            task.ref.job_id,
-            task.ref.step,
-            task.ref.index,
-            report.worker if report else "none",
-            report.slowness if report else 1.0,
-            link.free.cpu_millis,
-            (now_s - link.heard_at_s) * 1000,
-            is_near_data(task, link) if task.step.rack else "any",
-            is_trial,
-        )
-
     # Ends of orders.
 
-    def _on_agent_update(self) -> None:
-        if self.pending:
-            self._placement_requested.set()
-
     def _handle_order_end(
         self, order: OpenOrder, outcome: OrderOutcome, cause: str, link: AgentLink | None
     ) -> None:
@@ -460,8 +358,8 @@
             cause,
         )
         task.state = TaskState.PENDING
-        self._add_pending([task])
-        self._placement_requested.set()
+        self._placement.add([task])
+        self._placement.request()
 
     # Crashes of workers.
 
@@ -504,8 +402,8 @@
             return
         ready = run.release_ready_tasks()
         if ready:
-            self._add_pending(ready)
-            self._placement_requested.set()
+            self._placement.add(ready)
+            self._placement.request()
 
     # Periodic checks.
 
@@ -517,8 +415,8 @@
             self.streams.expire_links(now_s)
             for run in list(self.jobs.values()):
                 self._check_job(run, now_s)
-            if self.pending:
-                self._place_pending()
+            if self._placement.pending:
+                self._placement.place()
 
     def _check_job(self, run: JobRun, now_s: float) -> None:
         """Abandon a job that has not started and can no longer be answered usefully.
@@ -537,7 +435,7 @@
             ):
                 return
             run.is_abandoned = True
-            self.pending = [task for task in self.pending if task.job is not run]
+            self._placement.remove(run)
             self._stop_orders(run)
         if run.open_orders:
             return
@@ -556,14 +454,5 @@
         )
 
 
-def _is_selective(task: JobTask) -> bool:
-    """Return whether only some workers may run a task, or run it in time."""
-    return bool(task.step.label or task.step.rack or task.step.max_per_worker)
-
-
-def _placement_key(task: JobTask) -> tuple[int, float]:
-    return task.placement_key
-
-
 def _deadline_exceeded(message: str) -> WorkerJobAnswer:
     return WorkerJobAnswer(error=ServiceError(kind=ErrorKind.DEADLINE_EXCEEDED, message=message))
--- a/persimmoncrank/tests/test_lease_on_demand.py
+++ b/persimmoncrank/tests/test_lease_on_demand.py
@@ -111,7 +111,7 @@
         dispatcher = world.dispatcher(entry)
         world.network.cuts.add(frozenset({"a0", entry}))
         links = [link for link in dispatcher.links.values() if link.hello.agent == "a0"]
-        dispatcher._choose = lambda _task, found, **_options: next(
+        dispatcher._placement.choose = lambda _task, found, **_options: next(
             (link for link in [*links, *found] if link.is_connected), None
         )
         sent_at_s = anyio.current_time()
@@ -132,7 +132,7 @@
         sessions = world.agents["a0"].node.links.sessions.values()
         other = min(entry_name(session) for session in sessions if session.is_assigned)
         dispatcher = world.dispatcher(other)
-        dispatcher._choose = lambda _task, found, **_options: next(
+        dispatcher._placement.choose = lambda _task, found, **_options: next(
             (link for link in found if link.hello.agent == "a0"), None
         )
         async with anyio.create_task_group() as jobs:
