--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -211,9 +211,11 @@
     async def cancel_anywhere(self, job_id: str) -> bool:
         """Cancel a job at whichever entry runs it; return False if it is known that none does."""
         is_found = self.cancel(job_id)
-        if self._cancel_elsewhere is None:
-            return is_found
-        return await self._cancel_elsewhere(job_id, is_found=is_found)
+        is_anywhere = is_found
+        if self._cancel_elsewhere is not None:
+            is_anywhere = await self._cancel_elsewhere(job_id, is_found=is_found)
+        log.info("entry: cancel job=%s here=%s anywhere=%s", job_id, is_found, is_anywhere)
+        return is_anywhere
 
     def cancel_all(self, job_ids: Iterable[str]) -> tuple[str, ...]:
         """Cancel jobs; return those that were running at this entry."""
