Get the configuration from agents while the store turns all entries away

An entry learned of changes from the store and from other entries only. Agents have a stream to each entry and their settings name the store, but they were not asked.

An entry whose copy neither the store nor another entry has confirmed for 0.8 s now asks two agents at a time to read the table; the interval grows from 0.5 to 2 s while they do not answer. A copy counts as of the time of the request, and never replaces a newer one. The new fields of the frames are the last ones, which processes of the previous version ignore.

--- a/persimmoncrank/bench/_worker_world.py
+++ b/persimmoncrank/bench/_worker_world.py
@@ -13,6 +13,7 @@
 
 import anyio
 from anyio.abc import TaskGroup
+from result import Err, Result
 
 from persimmoncrank.coordination.dispatch import (
     ChooseWorker,
@@ -30,7 +31,10 @@
     MessageStream,
     Queue,
     QueueTable,
+    RowChanges,
     Step,
+    StoreError,
+    StoreErrorKind,
     StreamClosedError,
     TaskRef,
     WorkerCrash,
@@ -68,6 +72,11 @@
 )
 
 
+async def _read_no_table() -> Result[RowChanges, StoreError]:
+    """Read nothing: the simulated entries get their configuration directly."""
+    return Err(StoreError(kind=StoreErrorKind.UNAVAILABLE, message="no store"))
+
+
 def _address(entry: str) -> str:
     return f"{entry}:1"
 
@@ -377,6 +386,7 @@
                 worker_port=lambda heartbeat: self._freezable_port(name, worker.port(heartbeat)),
                 lease_clock=anyio.current_time,
                 first_fence=incarnation_number,
+                read_table=_read_no_table,
             ),
             times=LeaseTimes(
                 entry_lease_s=LEASE_S,
--- a/persimmoncrank/commands/_dispatch_agent.py
+++ b/persimmoncrank/commands/_dispatch_agent.py
@@ -4,11 +4,12 @@
 
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import anyio
+from result import Result
 
 from persimmoncrank.commands._dispatch_role import (
     SHUTDOWN_MARGIN_S,
@@ -19,7 +20,14 @@
 )
 from persimmoncrank.commands._incarnations import new_incarnation
 from persimmoncrank.coordination.execution import AgentPorts, LeaseTimes, WorkerAgent
-from persimmoncrank.protocol import AgentHello, EntryFrame, WorkerHeartbeat, WorkerPort
+from persimmoncrank.protocol import (
+    AgentHello,
+    EntryFrame,
+    RowChanges,
+    StoreError,
+    WorkerHeartbeat,
+    WorkerPort,
+)
 from persimmoncrank.transport import metrics_app, serve_http, stream_dialer
 
 if TYPE_CHECKING:
@@ -33,10 +41,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WorkerPorts:
-    """The ports between an agent and its worker."""
+    """The ports between an agent and its worker, and its read of the operator's table."""
 
     app: Callable[[WorkerAgent], Any]
     port: Callable[[WorkerHeartbeat], WorkerPort]
+    read_table: Callable[[], Awaitable[Result[RowChanges, StoreError]]]
 
 
 def run_dispatch_agent(
@@ -63,6 +72,7 @@
             worker_port=worker.port,
             lease_clock=boot_time_s,
             first_fence=time.time_ns() // 1_000_000,
+            read_table=worker.read_table,
         ),
         times=LeaseTimes(
             entry_lease_s=lease,
--- a/persimmoncrank/commands/_dispatch_entry.py
+++ b/persimmoncrank/commands/_dispatch_entry.py
@@ -20,6 +20,7 @@
 )
 from persimmoncrank.commands._incarnations import new_incarnation
 from persimmoncrank.coordination.configuration import (
+    AgentCopies,
     PeerPorts,
     TableFollower,
     ask_peer,
@@ -127,6 +128,12 @@
     )
     replica.on_change = _config_setter(dispatcher, store)
     follower = TableFollower(table=store.operator_table, feed=store.feed, replica=replica)
+    agent_copies = AgentCopies(
+        replica=replica,
+        is_following_store=lambda: follower.is_following,
+        ask=dispatcher.streams.request_copies,
+    )
+    dispatcher.streams.on_copy = agent_copies.apply
     directory = EntryDirectory(own=entry, on_change=dispatcher.streams.set_entries)
     peers = PeerPorts(
         dial=stream_dialer(CopyReply),
@@ -206,6 +213,7 @@
             read_crashes,
             follow_config,
             follow_other_entries,
+            agent_copies.run,
             store_new_crashes,
             register,
             follow_entries,
--- a/persimmoncrank/coordination/configuration/__init__.py
+++ b/persimmoncrank/coordination/configuration/__init__.py
@@ -7,6 +7,7 @@
 from persimmoncrank._lazy import lazy_exports
 
 if TYPE_CHECKING:
+    from persimmoncrank.coordination.configuration._agent_copies import AgentCopies
     from persimmoncrank.coordination.configuration._config_replica import (
         CLOCK_MARGIN,
         FRESHNESS_LIMIT_S,
@@ -29,6 +30,7 @@
     "APPLIED_ROWS_PREFIX",
     "CLOCK_MARGIN",
     "FRESHNESS_LIMIT_S",
+    "AgentCopies",
     "ConfigReplica",
     "ConfigWriter",
     "PeerPorts",
@@ -41,6 +43,7 @@
 
 _MODULES = {
     "APPLIED_ROWS_PREFIX": "_config_writer",
+    "AgentCopies": "_agent_copies",
     "CLOCK_MARGIN": "_config_replica",
     "ConfigReplica": "_config_replica",
     "ConfigWriter": "_config_writer",
--- a/persimmoncrank/coordination/dispatch/_agent_link.py
+++ b/persimmoncrank/coordination/dispatch/_agent_link.py
@@ -9,7 +9,14 @@
 import anyio
 
 from persimmoncrank.coordination.dispatch._worker_jobs import JobTask
-from persimmoncrank.protocol import AgentHello, Demand, EntryFrame, TaskOrder, WorkerReport
+from persimmoncrank.protocol import (
+    AgentHello,
+    Demand,
+    EntryFrame,
+    TableCopyRequest,
+    TaskOrder,
+    WorkerReport,
+)
 
 log = logging.getLogger(__name__)
 
@@ -57,6 +64,7 @@
     update_pending: anyio.Event = field(default_factory=anyio.Event)
     stream_scope: anyio.CancelScope | None = None
     _pending_challenge: int = 0
+    _pending_copy_request: TableCopyRequest | None = None
     _pending_starts: list[TaskOrder] = field(default_factory=list)
     _pending_stops: list[int] = field(default_factory=list)
     _sent_order_count: int = 0
@@ -114,6 +122,7 @@
         self.sent_config_version = -1
         self.sent_entries_version = -1
         self._pending_challenge = 0
+        self._pending_copy_request = None
         self._sent_order_count = hello.orders_seen
         self._unreported_demands.clear()
         held = set(hello.held)
@@ -174,10 +183,16 @@
             self._pending_challenge = challenge
             self.update_pending.set()
 
+    def queue_copy_request(self, request: TableCopyRequest) -> None:
+        """Ask the agent for a copy of the operator's table in the next frame."""
+        self._pending_copy_request = request
+        self.update_pending.set()
+
     def next_frame(self, entry: str, *, now_s: float) -> EntryFrame | None:
         """Return a frame with everything pending, or None if nothing is."""
         self.update_pending = anyio.Event()
-        if not (self._pending_challenge or self._pending_starts or self._pending_stops):
+        is_empty = not (self._pending_challenge or self._pending_starts or self._pending_stops)
+        if is_empty and self._pending_copy_request is None:
             return None
         if self._pending_challenge:
             self.lease_renewed_at_s = now_s
@@ -190,8 +205,10 @@
             starts=tuple(self._pending_starts),
             stops=tuple(self._pending_stops),
             seen_event=self.seen_event,
+            copy_request=self._pending_copy_request,
         )
         self._pending_challenge = 0
+        self._pending_copy_request = None
         self._pending_starts.clear()
         self._pending_stops.clear()
         return frame
--- a/persimmoncrank/coordination/dispatch/_agent_streams.py
+++ b/persimmoncrank/coordination/dispatch/_agent_streams.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import itertools
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import anyio
+import msgspec
 
 from persimmoncrank.coordination.dispatch._agent_link import AgentLink, OpenOrder
 from persimmoncrank.coordination.dispatch._worker_index import WorkerIndex
@@ -20,6 +22,8 @@
     OrderEnd,
     OrderOutcome,
     StreamClosedError,
+    TableCopy,
+    TableCopyRequest,
     WorkerCrash,
 )
 
@@ -30,6 +34,7 @@
 
 CLOCK_DRIFT_FACTOR = 1.02  # a worker's clock may run up to 2% slow
 STOP_MARGIN_S = 0.1
+AGENTS_PER_COPY_REQUEST = 2
 
 OnOrderEnd = Callable[[OpenOrder, OrderOutcome, str, AgentLink | None], None]
 OnCrash = Callable[[WorkerCrash, AgentLink], None]
@@ -77,6 +82,8 @@
         self._withdrawn: tuple[str, ...] = ()
         self._entries: dict[str, EntryAddress] = {}
         self._entries_version = 0
+        self._copy_offsets = itertools.count(0, AGENTS_PER_COPY_REQUEST)
+        self.on_copy: Callable[[TableCopy], None] = lambda _copy: None
 
     def set_withdrawn(self, withdrawn: Iterable[str], version: int) -> None:
         """Set the withdrawn failure domains and send them to all agents."""
@@ -92,6 +99,13 @@
             self._entries_version += 1
             self._wake_senders()
 
+    def request_copies(self, request: TableCopyRequest) -> None:
+        """Ask a few agents for a copy of the operator's table; repeated calls reach all in turn."""
+        connected = [link for link in self.links.values() if link.is_connected]
+        offset = next(self._copy_offsets)
+        for number in range(min(AGENTS_PER_COPY_REQUEST, len(connected))):
+            connected[(offset + number) % len(connected)].queue_copy_request(request)
+
     def _wake_senders(self) -> None:
         for link in self.links.values():
             link.update_pending.set()
@@ -189,12 +203,8 @@
         link.sent_entries_version = self._entries_version
         base = frame or EntryFrame(entry=self._entry.incarnation, seen_event=link.seen_event)
         first = self._first_frame()
-        return EntryFrame(
-            entry=base.entry,
-            challenge=base.challenge,
-            starts=base.starts,
-            stops=base.stops,
-            seen_event=base.seen_event,
+        return msgspec.structs.replace(
+            base,
             config_version=first.config_version,
             withdrawn=first.withdrawn,
             entries=first.entries,
@@ -210,6 +220,8 @@
                 order.task.job.may_have_started = True
         for crash in frame.crashes:
             self._on_crash(crash, link)
+        if frame.copy is not None:
+            self.on_copy(frame.copy)
         for end in frame.ended:
             self._handle_end(link, end)
         if frame.report is not None:
--- a/persimmoncrank/coordination/execution/_entry_session.py
+++ b/persimmoncrank/coordination/execution/_entry_session.py
@@ -15,6 +15,7 @@
     EntryFrame,
     OrderEnd,
     OrderOutcome,
+    TableCopy,
     WorkerCrash,
     WorkerReport,
 )
@@ -56,6 +57,7 @@
     _last_sent_event_id: int = 0
     _last_sent_report: WorkerReport | None = None
     _crashes: list[WorkerCrash] = field(default_factory=list)
+    _copy: TableCopy | None = None
 
     def has_lease(self, *, now_s: float) -> bool:
         """Return whether runs of the entry may start and continue."""
@@ -90,6 +92,11 @@
         self._crashes.extend(crashes)
         self.wake()
 
+    def queue_copy(self, copy: TableCopy) -> None:
+        """Add a copy of the operator's table to the next frame."""
+        self._copy = copy
+        self.wake()
+
     def unacked_order_ids(self) -> tuple[int, ...]:
         """Return the orders whose ends the entry has not acknowledged."""
         return tuple(end.order_id for end in self._unacked_ends.values())
@@ -102,6 +109,7 @@
         """
         self._started = list(started)
         self._crashes.clear()
+        self._copy = None
         self._challenges.clear()
         self._last_sent_event_id = 0
         self._last_sent_report = None
@@ -117,11 +125,12 @@
         """Return a frame with unsent events and a changed report, or None if it would be empty."""
         started, self._started = tuple(self._started), []
         crashes, self._crashes = tuple(self._crashes), []
+        copy, self._copy = self._copy, None
         ends = tuple(
             end for key, end in self._unacked_ends.items() if key > self._last_sent_event_id
         )
         new_report = None if report == self._last_sent_report else report
-        if not (with_challenge or started or ends or new_report or crashes):
+        if not (with_challenge or started or ends or new_report or crashes or copy):
             return None
         if ends:
             self._last_sent_event_id = ends[-1].event_id
@@ -134,6 +143,7 @@
             ended=ends,
             next_within_s=next_within_s,
             crashes=crashes,
+            copy=copy,
         )
 
     def _next_challenge(self, now_s: float) -> int:
--- a/persimmoncrank/coordination/execution/_worker_agent.py
+++ b/persimmoncrank/coordination/execution/_worker_agent.py
@@ -4,12 +4,13 @@
 
 import dataclasses
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import anyio
 import msgspec
+from result import Result
 
 from persimmoncrank.coordination.execution._entry_links import EntryLinks
 from persimmoncrank.coordination.execution._incarnation_claims import (
@@ -17,6 +18,7 @@
     IncarnationClaims,
 )
 from persimmoncrank.coordination.execution._runner_callbacks import RunnerCallbacks
+from persimmoncrank.coordination.execution._table_reads import TableReads
 from persimmoncrank.coordination.execution._worker_runner import WorkerRunner
 from persimmoncrank.protocol import (
     AgentHello,
@@ -25,6 +27,8 @@
     DialStream,
     EntryFrame,
     OrderOutcome,
+    RowChanges,
+    StoreError,
     WorkerCrash,
     WorkerHeartbeat,
     WorkerPort,
@@ -53,13 +57,15 @@
 
     ``lease_clock`` is a clock in seconds that also counts time during which the machine was
     suspended. ``first_fence`` is the first fencing token; it should be higher than those of the
-    agent's earlier processes, and the runner raises it if the worker refuses it.
+    agent's earlier processes, and the runner raises it if the worker refuses it. ``read_table``
+    returns all rows of the operator's table.
     """
 
     dial: DialStream
     worker_port: Callable[[WorkerHeartbeat], WorkerPort]
     lease_clock: Callable[[], float]
     first_fence: int
+    read_table: Callable[[], Awaitable[Result[RowChanges, StoreError]]]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -113,6 +119,7 @@
             expires_after_s=MAX_HEARTBEAT_AGE * times.heartbeat_interval_s,
             on_confirmed=self._on_incarnation_confirmed,
         )
+        self._table_reads = TableReads(read=ports.read_table)
         self._waiting_for_lease: list[Run] = []
         self._lease_awaited = anyio.Event()
         self._worker_changed = anyio.Event()
@@ -124,6 +131,7 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self.links.run)
             group.start_soon(self._claims.run)
+            group.start_soon(self._table_reads.run)
             group.start_soon(self._serve_incarnations)
             group.start_soon(self._run_lease_wait_checks)
             await self._stop.wait()
@@ -290,6 +298,8 @@
 
     def _on_frame(self, session: EntrySession, frame: EntryFrame) -> None:
         self._apply_config(frame)
+        if frame.copy_request is not None:
+            self._table_reads.request(session, frame.copy_request)
         now_s = anyio.current_time()
         for order in frame.starts:
             runner = self.runner
--- a/persimmoncrank/protocol/_dispatch.py
+++ b/persimmoncrank/protocol/_dispatch.py
@@ -15,6 +15,8 @@
 import msgspec
 from result import Result
 
+from persimmoncrank.protocol._platform import Row
+
 log = logging.getLogger(__name__)
 
 
@@ -164,6 +166,26 @@
     peer_address: str = ""
 
 
+class TableCopyRequest(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Asks an agent to read the operator's table for an entry.
+
+    The rows are sent only if they are newer than ``known_version`` and differ from those with
+    ``known_digest``. A negative version means that the entry has no copy.
+    """
+
+    number: int
+    known_version: int
+    known_digest: int
+
+
+class TableCopy(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """The operator's table as an agent has read it after request ``number`` had arrived."""
+
+    number: int
+    version: int
+    rows: tuple[Row, ...] | None = None
+
+
 class AgentHello(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """The first frame of a stream: the agent's identity and the entry's orders that it holds.
 
@@ -193,6 +215,7 @@
     ended: tuple[OrderEnd, ...] = ()
     next_within_s: float = 0.0
     crashes: tuple[WorkerCrash, ...] = ()
+    copy: TableCopy | None = None
 
 
 class EntryFrame(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -210,6 +233,7 @@
     config_version: int = 0
     withdrawn: tuple[str, ...] | None = None
     entries: tuple[EntryAddress, ...] = ()
+    copy_request: TableCopyRequest | None = None
 
 
 class StartRefusal(enum.StrEnum):
