--- a/persimmoncrank/coordination/configuration/_peer_copies.py
+++ b/persimmoncrank/coordination/configuration/_peer_copies.py
@@ -62,11 +62,12 @@
     if request is None:
         return
     ports.on_request(request.entry)
-    is_newer = replica.version > request.known_version and replica.digest != request.known_digest
     reply = CopyReply(
         version=replica.version,
         age_s=replica.age_s(now_s=anyio.current_time()),
-        rows=tuple(replica.rows.values()) if is_newer else None,
+        rows=replica.rows_for(
+            known_version=request.known_version, known_digest=request.known_digest
+        ),
         entries=() if request.known_version >= 0 else ports.entries(),
         stopped=ports.on_cancelled(request.cancelled),
     )
--- a/persimmoncrank/coordination/execution/_table_reads.py
+++ b/persimmoncrank/coordination/execution/_table_reads.py
@@ -69,12 +69,10 @@
         return Err(StoreError(kind=StoreErrorKind.UNAVAILABLE, message=message))
 
     def _copy_for(self, request: TableCopyRequest) -> TableCopy:
-        replica = self._replica
-        is_newer = (
-            replica.version > request.known_version and replica.digest != request.known_digest
-        )
         return TableCopy(
             number=request.number,
-            version=replica.version,
-            rows=tuple(replica.rows.values()) if is_newer else None,
+            version=self._replica.version,
+            rows=self._replica.rows_for(
+                known_version=request.known_version, known_digest=request.known_digest
+            ),
         )
--- a/persimmoncrank/state/_table_replica.py
+++ b/persimmoncrank/state/_table_replica.py
@@ -53,6 +53,12 @@
         """Record that the copy was the newest state of the store at a time."""
         self.confirmed_at_s = max(self.confirmed_at_s, at_s)
 
+    def rows_for(self, *, known_version: int, known_digest: int) -> tuple[Row, ...] | None:
+        """Return the rows for someone with another copy, or None if that is as new or equal."""
+        if self.version <= known_version or self.digest == known_digest:
+            return None
+        return tuple(self.rows.values())
+
     def replace(self, rows: Iterable[Row], version: int) -> bool:
         """Take over a whole copy of the table; return False if it is older than this one.
 
