Give a worker as long to confirm its incarnation as it has for its lists

The stand-ins of all workers share one process there and took more than 0.1 s for an answer.

The call that lets a worker confirm its incarnation had the time limit of a start or a stop, 0.1 s, while each later list of runs may take 0.25 s. So an agent never used a worker that takes between the two, which it would have used before the change for heartbeats of other writers.

test_worker_that_answers_slowly_is_not_taken_for_one failed before for an answer after 0.2 s.

--- a/persimmoncrank/coordination/execution/_incarnation_claims.py
+++ b/persimmoncrank/coordination/execution/_incarnation_claims.py
@@ -19,6 +19,7 @@
     FENCE_STEP,
     call_within,
 )
+from persimmoncrank.coordination.execution._worker_connection import LIST_WAIT_S
 from persimmoncrank.protocol import Renewal, WorkerFaultKind, WorkerHeartbeat
 
 if TYPE_CHECKING:
@@ -30,6 +31,7 @@
 
 MAX_CLAIMS = 8
 RETRY_INTERVAL_S = 0.05
+ANSWER_TIMEOUT_S = LIST_WAIT_S + CALL_TIMEOUT_S  # as for each list of runs
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -108,7 +110,7 @@
     """Return whether the worker is the incarnation that sent a heartbeat; None if unknown."""
     while True:
         renewal = Renewal(fence=fence, seen_cursor=0, until_ms=None, wait_ms=0)
-        match await call_within(CALL_TIMEOUT_S, port.renew(renewal)):
+        match await call_within(ANSWER_TIMEOUT_S, port.renew(renewal)):
             case Ok(runs):
                 return runs.incarnation == heartbeat.incarnation
             case Err(fault) if fault.kind is WorkerFaultKind.WRONG_INCARNATION:
--- a/persimmoncrank/tests/test_foreign_heartbeats.py
+++ b/persimmoncrank/tests/test_foreign_heartbeats.py
@@ -9,13 +9,25 @@
 import pytest
 
 from persimmoncrank.bench._worker_world import HEARTBEAT_S, make_worker_job
+from persimmoncrank.coordination.execution._incarnation_claims import (
+    IncarnationClaim,
+    IncarnationClaims,
+)
 from persimmoncrank.tests.worker_scenarios import run_scenario
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from result import Result
+
     from persimmoncrank.bench._worker_world import WorkerWorld
-    from persimmoncrank.protocol import WorkerHeartbeat
+    from persimmoncrank.protocol import (
+        Renewal,
+        RunList,
+        WorkerFault,
+        WorkerHeartbeat,
+        WorkerPort,
+    )
     from persimmoncrank.standin import WorkerStandin
 
 RUN_S = 1.0
@@ -104,6 +116,39 @@
     run_scenario(scenario, entries=1, agents=1, cores=4)
 
 
+# A worker that takes as long for its list as it may later is never confirmed, and gets no task.
+@pytest.mark.parametrize(("answer_s", "is_confirmed"), [(0.01, True), (0.2, True), (0.4, False)])
+def test_worker_that_answers_slowly_is_not_taken_for_one(
+    answer_s: float, *, is_confirmed: bool
+) -> None:
+    async def scenario(world: WorkerWorld) -> None:
+        worker = world.workers["a0"]
+        confirmed: list[IncarnationClaim] = []
+
+        def slow_port(heartbeat: WorkerHeartbeat) -> WorkerPort:
+            port = worker.port(heartbeat)
+
+            async def renew(renewal: Renewal) -> Result[RunList, WorkerFault]:
+                await anyio.sleep(answer_s)
+                return await port.renew(renewal)
+
+            return dataclasses.replace(port, renew=renew)
+
+        claims = IncarnationClaims(
+            worker_port=slow_port,
+            fence=lambda: 99,
+            clock=anyio.current_time,
+            expires_after_s=HEARTBEAT_S,
+            on_confirmed=confirmed.append,
+        )
+        world.group.start_soon(claims.run)
+        claims.add(worker.heartbeat())
+        await anyio.sleep(2 * HEARTBEAT_S)
+        assert bool(confirmed) is is_confirmed
+
+    run_scenario(scenario, entries=1, agents=1, cores=4)
+
+
 # The runs of a worker that has deregistered are repeated elsewhere while it still works on them.
 @pytest.mark.parametrize("ends", [True, False], ids=["ends later", "does not end"])
 def test_tasks_of_a_worker_that_has_deregistered_run_twice(*, ends: bool) -> None:
