--- a/review/standins_2/site.py
+++ b/review/standins_2/site.py
@@ -106,7 +106,7 @@
     zone: str
     ip: str
     process: subprocess.Popen[bytes] | None = None
-    started: int = 0
+    is_elsewhere: bool = False
 
 
 @dataclass(kw_only=True)
@@ -121,6 +121,7 @@
     store: Store = field(default_factory=Store)
     nodes: list[Node] = field(default_factory=list)
     workers: list[Worker] = field(default_factory=list)
+    on_ports: list[Callable[[], Any]] = field(default_factory=list)
     version: int = 0
     _tasks: set[asyncio.Task[Any]] = field(default_factory=set)
 
@@ -145,17 +146,16 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
-    async def start(
-        self, *, zones: tuple[str, ...], workers_per_zone: int, entries_per_zone: int = 1
-    ) -> None:
-        """Start the store, the entries, and agents with their workers."""
+    async def start(self, *, zones: tuple[str, ...], workers_per_zone: int) -> None:
+        """Start the store, one entry for each zone, and agents with their workers."""
         self.ports = dict(zip(PORT_NAMES, _free_ports(self.net, len(PORT_NAMES)), strict=True))
+        for callback in self.on_ports:
+            await callback()
         await http.serve(self.store.handle, self._store_address())
+        await http.serve(self.store.handle_elsewhere, self._store_address(is_elsewhere=True))
         self.put_configuration()
         for number, zone in enumerate(zones):
-            for index in range(entries_per_zone):
-                ip = f"{self.net}.1.{10 * number + index + 1}"
-                self.add_entry(f"edge-{zone}-{index + 1}", zone, ip)
+            self.add_entry(f"edge-{zone}-1", zone, f"{self.net}.1.{number + 1}")
         for number, zone in enumerate(zones):
             for index in range(workers_per_zone):
                 ip = f"{self.net}.{number + 10}.{index + 1}"
@@ -165,8 +165,8 @@
                 await self._start_worker(node, rack=f"r{number + 1}-{index // 3 + 1}")
 
     def add_entry(self, name: str, zone: str, ip: str) -> Node:
-        """Start an entry on a new machine."""
-        node = Node(role="entry", name=name, zone=zone, ip=ip)
+        """Start an entry on a new machine; all but the first see what a proxy shows them."""
+        node = Node(role="entry", name=name, zone=zone, ip=ip, is_elsewhere=bool(self.nodes))
         self.nodes.append(node)
         self.start_process(node)
         return node
@@ -208,8 +208,8 @@
         }
         self.store.put("op", "config", config)
 
-    def _store_address(self) -> str:
-        return f"{self.net}.0.1:{self.ports['store']}"
+    def _store_address(self, *, is_elsewhere: bool = False) -> str:
+        return f"{self.net}.0.{2 if is_elsewhere else 1}:{self.ports['store']}"
 
     # Processes.
 
@@ -223,7 +223,6 @@
         }
         environment["PERSIMMONCRANK_SETTINGS"] = str(settings)
         environment["PYTHONPATH"] = "target/deps"
-        node.started += 1
         with (self.folder / f"{node.name}.log").open("ab") as output:
             node.process = subprocess.Popen(
                 deploy["run"].split(), cwd=ROOT, env=environment, stdout=output, stderr=output
@@ -240,7 +239,7 @@
             "listen": {name: self.address(node, name) for name in ("front", "ready", "control")},
             "port_range": [self.ports["first"], self.ports["last"]],
             "seeds": seeds,
-            "platform": {"address": self._store_address()},
+            "platform": {"address": self._store_address(is_elsewhere=node.is_elsewhere)},
             "bounds": BOUNDS,
             "heartbeat_ms": HEARTBEAT_MS,
         }
--- a/review/standins_2/store.py
+++ b/review/standins_2/store.py
@@ -15,14 +15,17 @@
 
 
 class Store:
-    """The rows of all tables; ``read_at_s`` is when each table was last read."""
+    """The rows of all tables; nothing that was acknowledged is lost.
+
+    ``seen_as`` maps addresses to others of the same length, behind which a proxy listens.
+    """
 
     def __init__(self) -> None:
         """Create an empty store."""
         self.rows: dict[RowKey, tuple[int, str]] = {}
         self.changes: list[tuple[int, RowKey]] = []
         self.version = 0
-        self.read_at_s: dict[str, float] = {}
+        self.seen_as: dict[str, str] = {}
         self._changed = asyncio.Event()
 
     def put(self, table: str, key: str, value: Any) -> None:
@@ -49,6 +52,17 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    async def handle_elsewhere(self, request: Request) -> Answer:
+        """Answer a call of a machine that sees some addresses under other ones."""
+        answer = await self.handle(request)
+        for row in answer.body.get("rows", ()):
+            value = base64.b64decode(row.get("value", ""))
+            for address, other in self.seen_as.items():
+                value = value.replace(address.encode(), other.encode())
+            if "value" in row:
+                row["value"] = base64.b64encode(value).decode()
+        return answer
+
     async def handle(self, request: Request) -> Answer:
         """Answer a call of the system."""
         await asyncio.sleep(ANSWER_S)
@@ -77,7 +91,6 @@
         return Answer(body=self._rows([]))
 
     def _get(self, query: dict[str, str]) -> Answer:
-        self.read_at_s[query["table"]] = time.monotonic()
         part, first, last = query.get("part", ""), query.get("from", ""), query.get("to")
         keys = sorted(
             key
