--- a/review/standins_2/proxy.py
+++ b/review/standins_2/proxy.py
@@ -32,9 +32,10 @@
         finally:
             if self.is_cut:
                 writer.close()
-        await asyncio.gather(
-            self._pass_on(reader, target_writer), self._pass_on(target_reader, writer)
-        )
+        with contextlib.suppress(asyncio.CancelledError):  # at the end of the case
+            await asyncio.gather(
+                self._pass_on(reader, target_writer), self._pass_on(target_reader, writer)
+            )
 
     async def _pass_on(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(OSError):
