End a run by the time at which its entry was lost, also after a pause of its agent

Callers whose entry was killed could see a task run twice at once: another entry started it when they sent the job again, 1.3 s later, while the first run went on, for up to 1.4 s in virtual time. It takes an agent that is paused at the moment at which it would notice the loss, and a worker that leaves stops unanswered.

Cause: the chain of leases assumes that an agent notices at once that an entry's lease has ended. After a pause, a renewal could be sent before the check, for a whole lease, and the revocation counted from the notice instead of the loss.

The agent now checks the entries' leases before each call that extends the worker's, and a revoked lease ends one lease after the end of the entry's, on the worker's clock. So no extension reaches beyond the two leases of the chain, however late the agent is.

--- a/persimmoncrank/coordination/execution/_entry_links.py
+++ b/persimmoncrank/coordination/execution/_entry_links.py
@@ -67,9 +67,12 @@
         started_orders: Callable[[str], tuple[int, ...]],
         order_owners: Callable[[], set[str]],
         on_frame: Callable[[EntrySession, EntryFrame], None],
-        on_lease_lost: Callable[[EntrySession, str], None],
+        on_lease_lost: Callable[[EntrySession, str, float], None],
     ) -> None:
-        """Create links; the callables read the agent's state and handle frames and lost leases."""
+        """Create links; the callables read the agent's state and handle frames and lost leases.
+
+        ``on_lease_lost`` gets the session, the cause, and the time of the loss on ``lease_clock``.
+        """
         self.sessions: dict[str, EntrySession] = {}
         self._agent = agent
         self._dial = dial
@@ -92,7 +95,7 @@
             self._group = group
             for address in tuple(self._last_frame_at_s):
                 group.start_soon(self._maintain_stream, address)
-            await self._expire_leases()
+            await self._run_expiry()
 
     def set_seeds(self, seeds: Iterable[str]) -> None:
         """Set the addresses that are dialled forever, even if they do not answer."""
@@ -296,8 +299,8 @@
             with anyio.move_on_after(max(due_s - anyio.current_time(), 0)):
                 await session.urgent_update_pending.wait()
 
-    async def _expire_leases(self) -> None:
-        """Stop the runs of entries whose lease has expired."""
+    async def _run_expiry(self) -> None:
+        """Expire each lease in time."""
         while True:
             now_s = self._lease_clock()
             expiries = [s.lease_until_s for s in self.sessions.values() if s.lease_until_s]
@@ -305,21 +308,30 @@
             await anyio.sleep(
                 min(max(next_s - now_s, MIN_LEASE_CHECK_INTERVAL_S), CHALLENGE_INTERVAL_S)
             )
-            now_s = self._lease_clock()
-            for session in self.sessions.values():
-                if session.lease_until_s and session.lease_until_s <= now_s:
-                    session.lease_until_s = 0.0
-                    self._handle_lease_loss(session, "its lease ran out")
+            self.expire_leases()
+
+    def expire_leases(self) -> None:
+        """Stop the runs of entries whose lease has expired, also if a timer is late."""
+        now_s = self._lease_clock()
+        for session in self.sessions.values():
+            if session.lease_until_s and session.lease_until_s <= now_s:
+                self._handle_lease_loss(session, "its lease ran out", lost_at_s=now_s)
 
     def _close_session(self, session: EntrySession, cause: str) -> None:
         del self.sessions[session.incarnation]
-        self._handle_lease_loss(session, cause)
+        self._handle_lease_loss(session, cause, lost_at_s=self._lease_clock())
+
+    def _handle_lease_loss(self, session: EntrySession, cause: str, *, lost_at_s: float) -> None:
+        """Stop the entry's runs; the lease of an entry without any expires between its orders.
 
-    def _handle_lease_loss(self, session: EntrySession, cause: str) -> None:
-        """Stop the entry's runs; the lease of an entry without any expires between its orders."""
+        If the lease expired before the loss was noticed, it was lost then.
+        """
+        if session.lease_until_s:
+            lost_at_s = min(lost_at_s, session.lease_until_s)
+        session.lease_until_s = 0.0
         if _needs_lease(session, self._order_owners()):
             log.warning("agent: entry lost entry=%s cause=%s", session.incarnation, cause)
-            self._on_lease_lost(session, cause)
+            self._on_lease_lost(session, cause, lost_at_s)
 
 
 def _needs_lease(session: EntrySession, order_owners: set[str]) -> bool:
--- a/persimmoncrank/coordination/execution/_runner_callbacks.py
+++ b/persimmoncrank/coordination/execution/_runner_callbacks.py
@@ -19,6 +19,8 @@
     ``started`` and ``ended`` report runs, the latter with outcome, run time in seconds and cause.
     ``crashed`` reports the runs that were active when the worker crashed, before their ends.
     ``changed`` reports other changes of the worker's state; ``may_start`` is asked before a start.
+    ``before_extension`` is called before the worker's lease is extended: it revokes the runs of
+    entries whose leases have expired.
     """
 
     started: Callable[[Run], None]
@@ -26,3 +28,4 @@
     crashed: Callable[[tuple[CrashedRun, ...]], None]
     changed: Callable[[], None]
     may_start: Callable[[Run], bool]
+    before_extension: Callable[[], None]
--- a/persimmoncrank/coordination/execution/_worker_agent.py
+++ b/persimmoncrank/coordination/execution/_worker_agent.py
@@ -259,6 +259,7 @@
                     crashed=self._on_crashed,
                     changed=self.links.wake_all_senders,
                     may_start=self._may_start,
+                    before_extension=self.links.expire_leases,
                 ),
                 health=self._inherited_health(heartbeat),
             )
@@ -434,10 +435,11 @@
             owners |= self.runner.ledger.owners()
         return owners
 
-    def _on_lease_lost(self, session: EntrySession, cause: str) -> None:
+    def _on_lease_lost(self, session: EntrySession, cause: str, lost_at_s: float) -> None:
         if self.runner is not None:
+            lost_before_s = max(self._ports.lease_clock() - lost_at_s, 0.0)
             for run in self.runner.ledger.owned_by(session.incarnation):
-                self.runner.revoke(run, cause)
+                self.runner.revoke(run, cause, lost_before_s=lost_before_s)
 
     def _on_started(self, run: Run) -> None:
         ref = run.order.ref
--- a/persimmoncrank/coordination/execution/_worker_connection.py
+++ b/persimmoncrank/coordination/execution/_worker_connection.py
@@ -16,6 +16,8 @@
 from persimmoncrank.protocol import Renewal, RunList, RunRef, StartReply, StartRun, WorkerFault
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from result import Result
 
     from persimmoncrank.coordination.execution._worker_lease import WorkerLease
@@ -38,11 +40,22 @@
     a run that was processed. ``list_request_count`` numbers the requests for lists.
     """
 
-    def __init__(self, *, port: WorkerPort, lease: WorkerLease, fence: int) -> None:
-        """Create a connection; the worker may refuse the token ``fence`` as too low."""
+    def __init__(
+        self,
+        *,
+        port: WorkerPort,
+        lease: WorkerLease,
+        fence: int,
+        before_extension: Callable[[], None],
+    ) -> None:
+        """Create a connection; the worker may refuse the token ``fence`` as too low.
+
+        ``before_extension`` is called before each call that extends the lease, and may revoke it.
+        """
         self.port = port
         self.lease = lease
         self.fence = fence
+        self._before_extension = before_extension
         self.is_listed = False
         self.listed_at_s = 0.0
         self.seen_cursor = 0
@@ -59,6 +72,7 @@
 
     async def start(self, run: Run) -> Result[StartReply, WorkerFault]:
         """Send the start of a run, which also extends the lease."""
+        self._before_extension()
         until_ms = self.lease.extend(now_s=anyio.current_time())
         run.start_deadline_ms = max(run.start_deadline_ms, until_ms)
         order = StartRun(
@@ -85,6 +99,7 @@
 
         The lease of such a worker then expires at a known time, after which no run is active on it.
         """
+        self._before_extension()
         until_ms = None
         now_s = anyio.current_time()
         is_extended = self.is_responsive or not self.is_listed
--- a/persimmoncrank/coordination/execution/_worker_lease.py
+++ b/persimmoncrank/coordination/execution/_worker_lease.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import math
 
 from persimmoncrank.coordination.execution._worker_calls import CALL_TIMEOUT_S
 from persimmoncrank.coordination.execution._worker_clock import WorkerClock
@@ -23,7 +22,8 @@
         self.extended_at_s = 0.0
         self._lease_s = lease_s
         self._limit_s = limit_s
-        self._revoked_until_s = math.inf
+        self._extended_until_ms = 0
+        self._revoked_until_ms: int | None = None
 
     @property
     def until_s(self) -> float:
@@ -38,11 +38,14 @@
     @property
     def is_revoked(self) -> bool:
         """Whether the lease is not extended beyond a fixed time."""
-        return math.isfinite(self._revoked_until_s)
+        return self._revoked_until_ms is not None
 
     def remaining_s(self, *, now_s: float) -> float:
-        """Return how long the lease lasts if it is extended now."""
-        return min(self._lease_s, self._revoked_until_s - now_s)
+        """Return how long the lease lasts if it is extended now; 0 or less if it may not be."""
+        if self._revoked_until_ms is None:
+            return self._lease_s
+        remaining_ms = self._revoked_until_ms - self.clock.estimate_ms(now_s=now_s)
+        return min(self._lease_s, remaining_ms / 1000)
 
     def extend(self, *, now_s: float) -> int:
         """Record an extension, and return its end on the worker's clock in milliseconds.
@@ -52,19 +55,30 @@
         """
         remaining_s = self.remaining_s(now_s=now_s)
         self.extended_at_s = max(self.extended_at_s, now_s + remaining_s - self._lease_s)
-        return self.clock.estimate_ms(now_s=now_s) + int(remaining_s * 1000)
+        until_ms = self.clock.estimate_ms(now_s=now_s) + int(remaining_s * 1000)
+        self._extended_until_ms = max(self._extended_until_ms, until_ms)
+        return until_ms
 
-    def revoke(self, *, until_s: float) -> None:
+    def revoke(self) -> None:
+        """Do not extend the lease any more until it is restored."""
+        self._revoke_at(self._extended_until_ms)
+
+    def revoke_after_one_lease(self, *, now_s: float, lost_before_s: float = 0.0) -> None:
+        """Let the lease end one lease after the loss of a run's entry, ``lost_before_s`` ago.
+
+        The end is fixed on the worker's clock, so that a later pause of the agent does not move it.
+        """
+        remaining_ms = int((self._lease_s - lost_before_s) * 1000)
+        self._revoke_at(self.clock.estimate_ms(now_s=now_s) + remaining_ms)
+
+    def _revoke_at(self, until_ms: int) -> None:
         """Do not extend the lease beyond a time, or beyond the earliest of several."""
-        self._revoked_until_s = min(self._revoked_until_s, until_s)
+        known_ms = self._revoked_until_ms
+        self._revoked_until_ms = until_ms if known_ms is None else min(known_ms, until_ms)
 
     def restore(self) -> None:
         """Extend the lease as usual again."""
-        self._revoked_until_s = math.inf
-
-    def revoke_after_one_lease(self, *, now_s: float) -> None:
-        """Let the lease end after its usual duration unless it is restored."""
-        self.revoke(until_s=now_s + self._lease_s)
+        self._revoked_until_ms = None
 
     def has_expired(self, *, now_s: float) -> bool:
         """Return whether the lease has certainly expired on the worker's clock."""
--- a/persimmoncrank/coordination/execution/_worker_runner.py
+++ b/persimmoncrank/coordination/execution/_worker_runner.py
@@ -91,7 +91,12 @@
         self.health = health or WorkerHealth()
         self.is_terminated = False
         self._lease = WorkerLease(lease_s=lease_s, limit_s=lease_limit_s)
-        self._connection = WorkerConnection(port=port, lease=self._lease, fence=fence)
+        self._connection = WorkerConnection(
+            port=port,
+            lease=self._lease,
+            fence=fence,
+            before_extension=events.before_extension,
+        )
         self._events = events
         self._unexplained_runs: list[Run] = []
         self._unresponsive_since_s: float | None = None
@@ -237,14 +242,15 @@
             self.ledger.mark_ordered(run, now_s=self._now())
             self._group.start_soon(self._start, run)
 
-    def revoke(self, run: Run, cause: str) -> None:
+    def revoke(self, run: Run, cause: str, *, lost_before_s: float = 0.0) -> None:
         """Stop a run whose task may start elsewhere without a report of this run's end.
 
-        If the worker does not confirm the stop, the lease is not extended until the run has ended.
+        If the worker does not confirm the stop, the run ends with the worker's lease, at most one
+        lease after its entry was lost, which was ``lost_before_s`` ago.
         """
         if run.state is not RunState.QUEUED and not self.is_terminated:
             run.is_revoked = True
-            self._lease.revoke_after_one_lease(now_s=self._now())
+            self._lease.revoke_after_one_lease(now_s=self._now(), lost_before_s=lost_before_s)
         self.stop(run, cause)
 
     def stop(self, run: Run, cause: str) -> None:
@@ -459,7 +465,7 @@
         """Stop runs of an earlier process of the agent; no run starts until they have ended."""
         unknown = {ref for ref in running if ref not in self.ledger.active}
         if unknown:
-            self._lease.revoke(until_s=self._lease.until_s)
+            self._lease.revoke()
         for ref in unknown - self.ledger.unknown_runs:
             log.info("agent: stopping unknown run job=%s run=%d", ref.task.job_id, ref.number)
             if self._group is not None:
--- a/persimmoncrank/tests/runner_harness.py
+++ b/persimmoncrank/tests/runner_harness.py
@@ -59,6 +59,7 @@
                 crashed=self.crashed_runs.extend,
                 changed=lambda: None,
                 may_start=lambda _run: self.may_start,
+                before_extension=lambda: None,
             ),
         )
         group.start_soon(self.runner.run)
--- a/persimmoncrank/tests/test_revoked_runs.py
+++ b/persimmoncrank/tests/test_revoked_runs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+import itertools
 from typing import TYPE_CHECKING
 
 import anyio
@@ -11,14 +13,24 @@
 from persimmoncrank.tests.runner_harness import LEASE_S, Harness, make_run, run_scenario
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from anyio.abc import TaskGroup
+    from result import Result
+
+    from persimmoncrank.protocol import RunRef, WorkerFault, WorkerPort
 
 RUN_S = 5.0
 END_LIMIT_S = LEASE_S * 1.02 + 0.05  # a worker's clock may run 2% slow
 
 
-async def _start_runs(harness: Harness, group: TaskGroup, count: int) -> list:
-    runner = await harness.start(group)
+async def _start_runs(
+    harness: Harness,
+    group: TaskGroup,
+    count: int,
+    wrap: Callable[[WorkerPort], WorkerPort] = lambda port: port,
+) -> list:
+    runner = await harness.start(group, wrap)
     runs = [make_run(number + 1) for number in range(count)]
     for run in runs:
         runner.submit(run)
@@ -66,6 +78,43 @@
     run_scenario(scenario)
 
 
+def _leave_stops_unanswered(port: WorkerPort) -> WorkerPort:
+    """Wrap a port so that only the seventh stop and later ones are received."""
+    numbers = itertools.count(1)
+
+    async def stop(ref: RunRef, fence: int) -> Result[int, WorkerFault]:
+        if next(numbers) < 7:
+            await anyio.sleep_forever()
+        return await port.stop(ref, fence)
+
+    return dataclasses.replace(port, stop=stop)
+
+
+def _answer_stops_slowly(port: WorkerPort) -> WorkerPort:
+    async def stop(ref: RunRef, fence: int) -> Result[int, WorkerFault]:
+        answer = await port.stop(ref, fence)
+        await anyio.sleep(0.08)
+        return answer
+
+    return dataclasses.replace(port, stop=stop)
+
+
+# One run that is slow to stop ends the sound runs beside it.
+@pytest.mark.parametrize("wrap", [_leave_stops_unanswered, _answer_stops_slowly])
+def test_slow_stop_ends_the_other_runs_of_the_worker(
+    wrap: Callable[[WorkerPort], WorkerPort],
+) -> None:
+    async def scenario(group: TaskGroup) -> None:
+        harness = Harness(run_s=RUN_S)
+        runs = await _start_runs(harness, group, 2, wrap)
+        assert harness.runner is not None
+        harness.runner.revoke(runs[0], "the entry is lost")
+        await anyio.sleep(RUN_S + 1.0)
+        assert harness.ends == [(1, OrderOutcome.STOPPED), (2, OrderOutcome.DONE)]
+
+    run_scenario(scenario)
+
+
 # After the lease has ended with a revoked run, the worker is used as before.
 def test_worker_starts_no_run_after_its_lease_was_revoked() -> None:
     async def scenario(group: TaskGroup) -> None:
