Decide for each step, not for each task, whether the steps before it are done

One request of 250 kB kept an entry busy for tens of seconds, and no other caller got an answer.

Cause: for each task, all numbers in its step's after were read, when the job arrived and again when any of its tasks was done. The test with four such jobs had no answer to an ordinary request within 20 s. Each end of a task also cost a pass over all tasks of its job, so a job of 2,000 tasks spent 2.6 s on these passes in a profile.

--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -270,17 +270,17 @@
             critical_path_s=critical_path_length_s(job.steps, nominal_s),
         )
         for number, step in enumerate(job.steps):
-            for index in range(step.count):
-                ref = TaskRef(job_id=job.job_id, step=number, index=index)
-                run.tasks.append(
-                    JobTask(
-                        job=run,
-                        ref=ref,
-                        step=step,
-                        nominal_s=nominal_s[number],
-                        remote_data_factor=self._remote_data_factor,
-                    )
+            tasks = [
+                JobTask(
+                    job=run,
+                    ref=TaskRef(job_id=job.job_id, step=number, index=index),
+                    step=step,
+                    nominal_s=nominal_s[number],
+                    remote_data_factor=self._remote_data_factor,
                 )
+                for index in range(step.count)
+            ]
+            run.add_step(step, tasks)
         self.jobs[job.job_id] = run
         self.counters.jobs_admitted += 1
         log.info(
@@ -295,7 +295,7 @@
             len(self.pending),
             job.steps[0].rack or "none",
         )
-        self._placement.add(run.release_ready_tasks())
+        self._placement.add(run.release_first_tasks())
         self._placement.place()
         return run
 
@@ -424,13 +424,11 @@
         return known
 
     def _handle_task_done(self, task: JobTask) -> None:
-        task.state = TaskState.DONE
         run = task.job
+        ready = run.complete_task(task)
         if run.is_done():
             self._finish(run, WorkerJobAnswer(is_completed=True))
-            return
-        ready = run.release_ready_tasks()
-        if ready:
+        elif ready:
             self._placement.add(ready)
             self._placement.request()
 
--- a/persimmoncrank/coordination/dispatch/_worker_jobs.py
+++ b/persimmoncrank/coordination/dispatch/_worker_jobs.py
@@ -60,6 +60,22 @@
         return (self.job.job.queue.priority, self.job.latest_start_s)
 
 
+@dataclass(kw_only=True, slots=True)
+class _StepProgress:
+    """What is left of a step, and the numbers of the steps that are after it."""
+
+    tasks: list[JobTask]
+    unfinished_tasks: int
+    unfinished_earlier: int
+    dependents: list[int] = field(default_factory=list)
+
+    def release(self) -> list[JobTask]:
+        """Mark the tasks as pending and return them."""
+        for task in self.tasks:
+            task.state = TaskState.PENDING
+        return self.tasks
+
+
 @dataclass(kw_only=True, eq=False)
 class JobRun:
     """A running job.
@@ -77,6 +93,8 @@
     may_have_started: bool = False
     is_abandoned: bool = False
     open_orders: dict[int, str] = field(default_factory=dict)
+    _steps: list[_StepProgress] = field(default_factory=list)
+    _unfinished_steps: int = 0
 
     @property
     def objective_s(self) -> float:
@@ -100,24 +118,41 @@
         """Whether the job has its answer."""
         return self.ended.is_set()
 
-    def release_ready_tasks(self) -> list[JobTask]:
-        """Mark blocked tasks whose earlier steps are done as pending; return them."""
-        unfinished_steps = {
-            task.ref.step for task in self.tasks if task.state is not TaskState.DONE
-        }
-        ready = [
-            task
-            for task in self.tasks
-            if task.state is TaskState.BLOCKED
-            and not unfinished_steps.intersection(task.step.after)
-        ]
-        for task in ready:
-            task.state = TaskState.PENDING
+    def add_step(self, step: Step, tasks: list[JobTask]) -> None:
+        """Add the tasks of the next step, which is blocked until the steps before it are done."""
+        earlier = set(step.after)
+        for number in earlier:
+            self._steps[number].dependents.append(len(self._steps))
+        self._steps.append(
+            _StepProgress(tasks=tasks, unfinished_tasks=len(tasks), unfinished_earlier=len(earlier))
+        )
+        self._unfinished_steps += 1
+        self.tasks += tasks
+
+    def release_first_tasks(self) -> list[JobTask]:
+        """Mark the tasks of the steps that are after no other one as pending; return them."""
+        first = [progress for progress in self._steps if not progress.unfinished_earlier]
+        return [task for progress in first for task in progress.release()]
+
+    def complete_task(self, task: JobTask) -> list[JobTask]:
+        """Mark a task as done; mark the tasks that waited for it as pending, and return them."""
+        task.state = TaskState.DONE
+        progress = self._steps[task.ref.step]
+        progress.unfinished_tasks -= 1
+        if progress.unfinished_tasks:
+            return []
+        self._unfinished_steps -= 1
+        ready: list[JobTask] = []
+        for number in progress.dependents:
+            dependent = self._steps[number]
+            dependent.unfinished_earlier -= 1
+            if not dependent.unfinished_earlier:
+                ready += dependent.release()
         return ready
 
     def is_done(self) -> bool:
         """Return whether all tasks are done."""
-        return all(task.state is TaskState.DONE for task in self.tasks)
+        return self._unfinished_steps == 0
 
     def finish(self, answer: WorkerJobAnswer) -> None:
         """Set the answer unless the job already has one."""
