Take the time of a lost lease before the session is closed

The loss of an entry is handled by a function with the arguments that the mutation tests replace; one of them failed after the last change of it, with a TypeError instead of a broken invariant.

--- a/persimmoncrank/coordination/execution/_entry_links.py
+++ b/persimmoncrank/coordination/execution/_entry_links.py
@@ -315,20 +315,16 @@
         now_s = self._lease_clock()
         for session in self.sessions.values():
             if session.lease_until_s and session.lease_until_s <= now_s:
-                self._handle_lease_loss(session, "its lease ran out", lost_at_s=now_s)
+                lost_at_s, session.lease_until_s = session.lease_until_s, 0.0
+                self._handle_lease_loss(session, "its lease ran out", lost_at_s)
 
     def _close_session(self, session: EntrySession, cause: str) -> None:
+        self.expire_leases()
         del self.sessions[session.incarnation]
-        self._handle_lease_loss(session, cause, lost_at_s=self._lease_clock())
+        self._handle_lease_loss(session, cause, self._lease_clock())
 
-    def _handle_lease_loss(self, session: EntrySession, cause: str, *, lost_at_s: float) -> None:
-        """Stop the entry's runs; the lease of an entry without any expires between its orders.
-
-        If the lease expired before the loss was noticed, it was lost then.
-        """
-        if session.lease_until_s:
-            lost_at_s = min(lost_at_s, session.lease_until_s)
-        session.lease_until_s = 0.0
+    def _handle_lease_loss(self, session: EntrySession, cause: str, lost_at_s: float) -> None:
+        """Stop the entry's runs; the lease of an entry without any expires between its orders."""
         if _needs_lease(session, self._order_owners()):
             log.warning("agent: entry lost entry=%s cause=%s", session.incarnation, cause)
             self._on_lease_lost(session, cause, lost_at_s)
