--- a/persimmoncrank/tests/test_worker_health.py
+++ b/persimmoncrank/tests/test_worker_health.py
@@ -5,6 +5,7 @@
 import pytest
 
 from persimmoncrank.state import DurationEstimator, LatencyHistogram, WorkerHealth
+from persimmoncrank.state._duration_estimator import MAX_KINDS
 
 
 @pytest.mark.parametrize(
@@ -100,3 +101,13 @@
     assert not successor.is_suspect
     successor.record_success(run_s=1.0, nominal_s=1.0)
     assert successor.slowness > 1.7
+
+
+# Each name that a caller chooses is kept for ever.
+def test_estimator_keeps_all_kinds() -> None:
+    estimator = DurationEstimator()
+    for number in range(3 * MAX_KINDS):
+        estimator.nominal_s(kind="frequent", estimate_s=2.0)
+        estimator.nominal_s(kind=f"kind-{number}", estimate_s=1.0)
+    assert len(estimator._mean_logs) == MAX_KINDS
+    assert estimator.nominal_s(kind="frequent", estimate_s=1.0) > 1.3
