Limit the tasks that an entry holds, and look at waiting tasks by step

Clients that handed in jobs of 10,000 tasks, 150 bytes each, took an entry from 33 to 157 MB with 40 connections, and an entry with such jobs left ordinary callers without an answer for 10 s and more.

Cause: nothing limited the tasks of all jobs together, and each of them was an element of one list that was sorted for each job that arrived, filtered for each that ended, and read by each pass.

The running jobs of an entry have at most max_held_tasks tasks (40,000). A job takes at most half of what is free, so that small ones still find room; alone, it is always admitted. What has no room is refused at once, with the time after which enough of the others are too old to be useful. Waiting tasks are kept by step: arrival, end and pass cost one operation a step.

--- a/persimmoncrank/commands/_dispatch_entry.py
+++ b/persimmoncrank/commands/_dispatch_entry.py
@@ -125,6 +125,7 @@
         remote_data_factor=settings.remote_data_factor,
         on_new_crash=crashes.put,
         pause_clock=boot_time_s,
+        max_held_tasks=settings.max_held_tasks,
     )
     replica.on_change = _config_setter(dispatcher, store)
     follower = TableFollower(table=store.operator_table, feed=store.feed, replica=replica)
