Limit the orders of an entry at a worker, and of all entries at an agent

Cause: a worker's capacity is what limits its orders, and tasks without demand always fit. All of them went to one agent in one frame of 42 MB. The agent closed the stream, which takes 16 MB, and the entry placed the tasks again, until the caller's deadline. The other orders at that agent were lost each time.

An entry has at most 1,000 orders at a worker, an agent holds at most 4,000 of all entries, and a frame carries at most 256 KiB of starts, so that it does not delay the lease. Orders that were not sent when their job ends are withdrawn. So a lease is still granted only by a frame that comes after all starts and with all stops of the orders that the entry has given up.

--- a/persimmoncrank/coordination/dispatch/_agent_link.py
+++ b/persimmoncrank/coordination/dispatch/_agent_link.py
@@ -21,6 +21,8 @@
 log = logging.getLogger(__name__)
 
 CURRENT_WITHIN_S = 0.4  # two frame intervals of an agent that is assigned to this entry
+MAX_STARTS_BYTES = 256 * 1024  # of one frame, so that it does not delay the lease
+ORDER_BYTES = 300  # of a start, without its payload
 FIRST_ANSWER_S = 0.35  # an agent asks for a lease at once when it gets an order without having one
 
 
@@ -66,7 +68,7 @@
     stream_scope: anyio.CancelScope | None = None
     _pending_challenge: int = 0
     _pending_copy_request: TableCopyRequest | None = None
-    _pending_starts: list[TaskOrder] = field(default_factory=list)
+    _pending_starts: dict[int, TaskOrder] = field(default_factory=dict)
     _pending_stops: list[int] = field(default_factory=list)
     _sent_order_count: int = 0
     _unreported_demands: deque[tuple[int, Demand]] = field(default_factory=deque)
@@ -141,7 +143,7 @@
         """Mark the agent as disconnected; return the orders that were never sent."""
         self.is_connected = False
         self.stream_scope = None
-        unsent = [self.orders.pop(order.order_id) for order in self._pending_starts]
+        unsent = [self.orders.pop(order_id) for order_id in self._pending_starts]
         self._pending_starts.clear()
         self._pending_stops.clear()
         return unsent
@@ -154,19 +156,27 @@
         free = report.free
         for _, demand in self._unreported_demands:
             free = free - demand
+        for order in self._pending_starts.values():
+            free = free - order.demand
         self._free = free
 
     def queue_start(self, order: OpenOrder, *, now_s: float) -> None:
-        """Add an order to the next frame and reserve its resources."""
+        """Add an order to the next frames and reserve its resources."""
         if not self.orders:
             self.engaged_at_s = now_s
         self.orders[order.order.order_id] = order
-        self._pending_starts.append(order.order)
+        self._pending_starts[order.order.order_id] = order.order
         self._free = self._free - order.order.demand
-        self._sent_order_count += 1
-        self._unreported_demands.append((self._sent_order_count, order.order.demand))
         self.update_pending.set()
 
+    def withdraw_start(self, order: OpenOrder) -> bool:
+        """Remove an order that was not sent yet; return False if it was."""
+        if self._pending_starts.pop(order.order.order_id, None) is None:
+            return False
+        del self.orders[order.order.order_id]
+        self._free = self._free + order.order.demand
+        return True
+
     def queue_stop(self, order: OpenOrder) -> None:
         """Add a stop to the next frame, unless one was already added for this order.
 
@@ -191,26 +201,44 @@
         self.update_pending.set()
 
     def next_frame(self, entry: str, *, now_s: float) -> EntryFrame | None:
-        """Return a frame with everything pending, or None if nothing is."""
+        """Return a frame with what is pending, or None if nothing is.
+
+        Starts that would make it too long wait for the next frame.
+        """
         self.update_pending = anyio.Event()
         is_empty = not (self._pending_challenge or self._pending_starts or self._pending_stops)
         if is_empty and self._pending_copy_request is None:
             return None
         if self._pending_challenge:
             self.lease_renewed_at_s = now_s
-        for order in self._pending_starts:
-            self.orders[order.order_id].is_sent = True
-            self.orders[order.order_id].sent_at_s = now_s
         frame = EntryFrame(
             entry=entry,
             challenge=self._pending_challenge,
-            starts=tuple(self._pending_starts),
+            starts=self._take_starts(now_s=now_s),
             stops=tuple(self._pending_stops),
             seen_event=self.seen_event,
             copy_request=self._pending_copy_request,
         )
         self._pending_challenge = 0
         self._pending_copy_request = None
-        self._pending_starts.clear()
         self._pending_stops.clear()
+        if self._pending_starts:
+            self.update_pending.set()
         return frame
+
+    def _take_starts(self, *, now_s: float) -> tuple[TaskOrder, ...]:
+        """Remove and return the first pending starts, as many as a frame takes, at least one."""
+        taken: list[TaskOrder] = []
+        size_bytes = 0
+        for order in self._pending_starts.values():
+            size_bytes += len(order.payload) + ORDER_BYTES
+            if taken and size_bytes > MAX_STARTS_BYTES:
+                break
+            taken.append(order)
+        for order in taken:
+            del self._pending_starts[order.order_id]
+            self.orders[order.order_id].is_sent = True
+            self.orders[order.order_id].sent_at_s = now_s
+            self._sent_order_count += 1
+            self._unreported_demands.append((self._sent_order_count, order.demand))
+        return tuple(taken)
--- a/persimmoncrank/coordination/dispatch/_dispatcher.py
+++ b/persimmoncrank/coordination/dispatch/_dispatcher.py
@@ -344,8 +344,13 @@
             len(links),
             sum(not link.is_connected for link in links),
         )
-        for order_id, link in zip(run.open_orders, links, strict=True):
-            link.queue_stop(link.orders[order_id])
+        for order_id, link in zip(list(run.open_orders), links, strict=True):
+            order = link.orders[order_id]
+            if link.withdraw_start(order):
+                cause = "the order was never sent"
+                self._handle_order_end(order, OrderOutcome.NOT_STARTED, cause, None)
+            else:
+                link.queue_stop(order)
 
     def abort_jobs(self, cause: str) -> None:
         """Fail all running jobs and stop their open orders."""
--- a/persimmoncrank/coordination/dispatch/_worker_choice.py
+++ b/persimmoncrank/coordination/dispatch/_worker_choice.py
@@ -22,6 +22,7 @@
 # Expected wait for capacity at a fully used worker, see docs/design/placement.md.
 FULL_WORKER_WAIT_S = 0.4
 UNKNOWN_FREE_SHARE = 0.4
+MAX_ORDERS_PER_WORKER = 1_000  # of one entry; tasks may need no resources at all
 MAX_PROBES = 4  # per task; each refused probe costs two round trips
 
 ChooseWorker = Callable[..., "AgentLink | None"]
@@ -49,6 +50,8 @@
     if it is full.
     """
     for link in links:
+        if len(link.orders) >= MAX_ORDERS_PER_WORKER:
+            continue
         if not (_has_capacity(task, link, now_s=now_s) or _may_probe(task, link, now_s=now_s)):
             continue
         if not is_eligible(task, link, withdrawn=withdrawn) or _is_at_step_limit(task, link):
--- a/persimmoncrank/coordination/execution/_worker_agent.py
+++ b/persimmoncrank/coordination/execution/_worker_agent.py
@@ -55,6 +55,7 @@
 LEASE_WAIT_CHECK_INTERVAL_S = 0.1
 REPORTED_SLOWNESS_DIGITS = 2
 MAX_HEARTBEAT_AGE = 2.25  # in intervals, so that one heartbeat may be lost
+MAX_HELD_ORDERS = 4_000  # of all entries; tasks may need no resources at all
 HEARTBEAT_TIMEOUT_S = 1.0  # a worker gives up a heartbeat that is not acknowledged within this time
 
 
@@ -325,6 +326,9 @@
             ):
                 cause = "the order is for another incarnation of the worker"
                 session.queue_end_report(order.order_id, OrderOutcome.NOT_STARTED, 0.0, cause)
+            elif not self._has_room_for_orders():
+                cause = "the agent holds too many orders"
+                session.queue_end_report(order.order_id, OrderOutcome.NOT_STARTED, 0.0, cause)
             else:
                 run = Run(owner=session.incarnation, order=order, queued_at_s=now_s)
                 self._waiting_for_lease.append(run)
@@ -334,6 +338,12 @@
         if frame.starts or frame.stops:
             self.links.wake_senders()
 
+    def _has_room_for_orders(self) -> bool:
+        held = len(self._waiting_for_lease)
+        if self.runner is not None:
+            held += len(self.runner.ledger.queued) + len(self.runner.ledger.active)
+        return held < MAX_HELD_ORDERS
+
     def _cancel_jobs(self, job_ids: tuple[str, ...]) -> None:
         """End the runs of cancelled jobs, whichever entry has ordered them, and tell that entry."""
         if not job_ids:
@@ -527,6 +537,7 @@
             free=runner.free,
             slowness=round(runner.health.slowness, REPORTED_SLOWNESS_DIGITS),
             is_accepting=self._is_accepting()
+            and self._has_room_for_orders()
             and runner.is_ready
             and not runner.ledger.unknown_runs,
             is_suspect=runner.health.is_suspect,
