Read small pieces from a socket, and stop reading behind requests in work

600 connections, each with a job and 256 kB behind it, took an entry from 33 to 130 MB; the smallest machine has 160.

Cause: what is read ahead was compared with its limit after a read, and the event loop reads up to 256 kB at a time. The budget of all connections closes those without a request in work, and these had one, so nothing bounded their sum.

A socket is now read 16 kB at a time, into a buffer that the connections share, and is not read behind a request in work once all connections together hold half of the budget. The other half is for the heads and bodies of other clients. A client that leaves meanwhile is still noticed within a second.

test_requests_behind_a_job_fill_the_memory_of_an_entry failed before.

--- a/persimmoncrank/transport/_bounded_http.py
+++ b/persimmoncrank/transport/_bounded_http.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import select
 from typing import TYPE_CHECKING, Any
@@ -17,14 +18,13 @@
 from persimmoncrank.transport._http_intake import CloseCause
 
 if TYPE_CHECKING:
-    import asyncio
-
     from uvicorn.protocols.http.httptools_impl import RequestResponseCycle
 
     from persimmoncrank.transport._http_intake import HttpIntake
 
 log = logging.getLogger(__name__)
 
+READ_BYTES = 16_384  # at most, from a socket at a time
 SLICE_BYTES = 512  # at most 28 requests of the shortest kind
 BODY_SLICE_BYTES = 16_384
 MAX_CHARGED_BODY_BYTES = 4 * 1024 * 1024  # the largest body that an application keeps
@@ -52,7 +52,7 @@
 
     def resume_reading(self) -> None:
         """Read the socket again unless too much has been read ahead."""
-        if not self._protocol.has_read_ahead:
+        if not self._protocol.must_not_read:
             super().resume_reading()
 
 
@@ -80,9 +80,11 @@
     # What the intake asks.
 
     @property
-    def has_read_ahead(self) -> bool:
-        """Whether as much has been read of later requests as may be."""
-        return len(self._held) >= self._limits.max_read_ahead_bytes
+    def must_not_read(self) -> bool:
+        """Whether as much has been read behind a request in work as may be."""
+        if len(self._held) >= self._limits.max_read_ahead_bytes:
+            return True
+        return self._is_in_work() and self._intake.is_read_ahead_full
 
     @property
     def is_unfinished(self) -> bool:
@@ -96,7 +98,7 @@
             is_late = now_s - self._write_paused_at_s > limits.answer_timeout_s
             return CloseCause.ANSWER_UNREAD if is_late else None
         if self._is_in_work():
-            return CloseCause.LEFT if self.has_read_ahead and self._has_peer_left() else None
+            return CloseCause.LEFT if self.flow.read_paused and self._has_peer_left() else None
         if not self._has_begun:
             is_late = now_s - self.waiting_since_s > limits.idle_timeout_s
             return CloseCause.IDLE if is_late else None
@@ -167,6 +169,7 @@
         else:
             self._parse(data)
         self._charge()
+        self._pause_reading_if_full()
 
     # Parsing.
 
@@ -216,7 +219,10 @@
 
     def _hold(self, data: bytes | bytearray) -> None:
         self._held += data
-        if self.has_read_ahead:
+        self._pause_reading_if_full()
+
+    def _pause_reading_if_full(self) -> None:
+        if self.must_not_read:
             self.flow.pause_reading()
 
     def _continue_soon(self) -> None:
@@ -296,4 +302,54 @@
             self.refuse(CloseCause.INVALID)
             return
         self._charge()
-        self._continue_soon()
+        if self._held:
+            self._continue_soon()
+        elif not self._is_closed:
+            self.flow.resume_reading()
+
+
+class LimitedReads(asyncio.BufferedProtocol):
+    """Reads from a socket into a small buffer that all connections share.
+
+    The event loop would otherwise read up to 256 kB at a time, for each connection.
+    """
+
+    _buffer = memoryview(bytearray(READ_BYTES))
+
+    def __init__(self, *, protocol: BoundedHttpProtocol) -> None:
+        """Pass what is read to ``protocol``."""
+        self._protocol = protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Pass the transport on."""
+        self._protocol.connection_made(transport)  # type: ignore[arg-type]
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Pass the end of the connection on."""
+        self._protocol.connection_lost(exc)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read."""
+        del sizehint
+        return self._buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Pass what was read on."""
+        self._protocol.data_received(bytes(self._buffer[:nbytes]))
+
+    def eof_received(self) -> None:
+        """Pass the end of the client's data on."""
+        self._protocol.eof_received()
+
+    def pause_writing(self) -> None:
+        """Tell the protocol that the client reads no answers."""
+        self._protocol.pause_writing()
+
+    def resume_writing(self) -> None:
+        """Tell the protocol that the client reads again."""
+        self._protocol.resume_writing()
+
+
+def bounded_http(intake: HttpIntake, **options: Any) -> LimitedReads:
+    """Return the protocol for a new connection whose bytes count in ``intake``."""
+    return LimitedReads(protocol=BoundedHttpProtocol(intake=intake, **options))
--- a/persimmoncrank/transport/_http_intake.py
+++ b/persimmoncrank/transport/_http_intake.py
@@ -20,6 +20,7 @@
 
 CHECK_INTERVAL_S = 1.0
 MAX_LOGGED_PER_CHECK = 10
+READ_AHEAD_SHARE = 0.5  # of the budget of bytes
 
 
 class CloseCause(enum.StrEnum):
@@ -86,6 +87,11 @@
         self._connections: set[Connection] = set()
         self._log_budget = MAX_LOGGED_PER_CHECK
 
+    @property
+    def is_read_ahead_full(self) -> bool:
+        """Whether nothing more is to be read behind requests in work; the rest is for others."""
+        return self.buffered_bytes >= READ_AHEAD_SHARE * self.limits.max_buffered_bytes
+
     @property
     def connection_count(self) -> int:
         """The number of open connections."""
--- a/persimmoncrank/transport/_http_server.py
+++ b/persimmoncrank/transport/_http_server.py
@@ -12,7 +12,7 @@
 import uvicorn
 
 from persimmoncrank.protocol import parse_address
-from persimmoncrank.transport._bounded_http import BoundedHttpProtocol
+from persimmoncrank.transport._bounded_http import bounded_http
 from persimmoncrank.transport._http_intake import HttpIntake, HttpLimits
 
 if TYPE_CHECKING:
@@ -101,7 +101,7 @@
     config = uvicorn.Config(
         app,
         loop="none",
-        http=functools.partial(BoundedHttpProtocol, intake=intake or own_intake),  # type: ignore[arg-type]
+        http=functools.partial(bounded_http, intake or own_intake),  # type: ignore[arg-type]
         ws="none",
         lifespan="off",
         log_config=None,
