--- a/persimmoncrank/coordination/dispatch/_job_checks.py
+++ b/persimmoncrank/coordination/dispatch/_job_checks.py
@@ -51,10 +51,11 @@
 
 @dataclass(kw_only=True)
 class HeldTasks:
-    """The number of tasks of the running jobs, which an entry keeps below ``limit``.
+    """The number of tasks of the running jobs, which an entry keeps at ``limit`` or less.
 
     Load pattern: clients that hand in jobs of thousands of tasks, and keep them for as long as they
-    like. A job may take up to half of what is free, so that small ones find room beside large ones.
+    like. A job may take up to half of what is free, so that small ones find room beside large ones;
+    without any other, a job of any size is admitted.
     """
 
     limit: int
--- a/persimmoncrank/coordination/dispatch/_task_placement.py
+++ b/persimmoncrank/coordination/dispatch/_task_placement.py
@@ -33,7 +33,7 @@
 from persimmoncrank.state import EntryCounters
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Sequence
+    from collections.abc import Sequence
 
 
 log = logging.getLogger(__name__)
@@ -90,10 +90,6 @@
         if self.pending_count:
             self._requested.set()
 
-    def pending(self) -> Iterator[JobTask]:
-        """Yield the pending tasks in their order."""
-        return itertools.chain.from_iterable(step.tasks for step in self._steps)
-
     def add(self, tasks: Sequence[JobTask]) -> None:
         """Add pending tasks of one job, behind those with the same key."""
         self.pending_count += len(tasks)
@@ -124,14 +120,13 @@
         """
         current = _Pass(now_s=anyio.current_time())
         self.containment.update(self.streams.links.values(), now_s=current.now_s)
-        has_emptied = False
+        count_before = self.pending_count
         for step in self._steps:
             if self.containment.is_confined(step.tasks[0]) not in current.full_pools:
                 self._place_step(step, current)
-                has_emptied = has_emptied or not step.tasks
             if len(current.full_pools) == self.containment.pool_count:
                 break
-        if has_emptied:
+        if self.pending_count < count_before:
             self._drop_empty_steps()
 
     def _place_step(self, step: _PendingStep, current: _Pass) -> None:
