--- a/persimmoncrank/transport/_bounded_http.py
+++ b/persimmoncrank/transport/_bounded_http.py
@@ -28,6 +28,7 @@
 SLICE_BYTES = 512  # at most 28 requests of the shortest kind
 BODY_SLICE_BYTES = 16_384
 MAX_CHARGED_BODY_BYTES = 4 * 1024 * 1024  # the largest body that an application keeps
+BODY_COPIES = 2  # an application joins the parts of a body
 WRITE_BUFFER_BYTES = 16_384  # beyond that, a client that reads no answers gets no further ones
 REQUEST_BYTES = 3_000  # of memory, for a request that waits
 
@@ -255,7 +256,7 @@
     def _charge(self) -> None:
         if self._is_closed:
             return
-        body_bytes = min(self._body_bytes, MAX_CHARGED_BODY_BYTES)
+        body_bytes = BODY_COPIES * min(self._body_bytes, MAX_CHARGED_BODY_BYTES)
         waiting_bytes = REQUEST_BYTES * len(self.pipeline)
         total = len(self._held) + self._overhead_bytes + body_bytes + waiting_bytes
         if total != self.buffered_bytes:
