Review: stand-ins for a store that turns all calls away and for cut links

A script that gets SIGTERM or SIGINT ends the processes that it started: one that was interrupted had left fifteen.

--- a/review/standins_3/deployment.py
+++ b/review/standins_3/deployment.py
@@ -20,7 +20,8 @@
 from typing import TYPE_CHECKING, Any
 
 from standins_3.executor import Executor, Started
-from standins_3.http import Answer, call
+from standins_3.http import Answer, Server, call
+from standins_3.proxy import Proxy
 from standins_3.store import Store
 
 if TYPE_CHECKING:
@@ -40,7 +41,7 @@
     "contact_ms": 3_000,
 }
 HEARTBEAT_MS = 1_500
-PORTS = ("front", "ready", "control", "stream", "metrics", "app", "store")
+PORTS = ("front", "ready", "control", "stream", "metrics", "app", "store", "view")
 READY_WITHIN_S = 25.0
 
 
@@ -112,12 +113,16 @@
         routes: list[dict[str, Any]],
         cpu: int = 16_000,
         racks: int = 2,
+        has_links: bool = False,
         seed: int = 1,
     ) -> None:
         """Create a deployment that is not running."""
         self.folder = folder
         self.routes = routes
         self.removed = 0
+        self.links: list[Proxy] = []
+        self._has_links = has_links
+        self._view: Server | None = None
         self.history: list[Started] = []
         self.began_s = time.monotonic()
         self._record = (folder / "record.txt").open("w")
@@ -175,13 +180,15 @@
 
     def _fields(self, machine: Machine) -> dict[str, Any]:
         address = {name: f"{machine.host}:{self.ports[name]}" for name in PORTS}
+        is_linked = self._has_links and machine is self.entries[-1]
+        store = "view" if is_linked else "store"
         return {
             "node_name": machine.name,
             "zone": machine.zone,
             "ip": machine.host,
             "listen": {name: address[name] for name in ("front", "ready", "control")},
             "port_range": [self.ports["stream"], self.ports["metrics"]],
-            "platform": {"address": f"{self.entries[0].host}:{self.ports['store']}"},
+            "platform": {"address": f"{self.entries[0].host}:{self.ports[store]}"},
             "app": address["app"],
             "heartbeat_ms": HEARTBEAT_MS,
             "bounds": BOUNDS,
@@ -255,6 +262,35 @@
         await old.stop()
         self.say("the store's old address is closed")
 
+    async def _start_links(self) -> None:
+        """Start the last entry first, with a proxy in front of the control port of each other one.
+
+        The proxies stand for its links to the other entries. As entries name their own addresses in
+        the store, the store shows this one the addresses of the proxies instead.
+        """
+        port = self.ports["control"]
+        hosts = {entry.name: entry.host for entry in self.entries[:-1]}
+        seen = {name: host.replace(".101.", ".103.") for name, host in hosts.items()}
+        for name, host in hosts.items():
+            self.links.append(Proxy(seen[name], port, (host, port)))
+            await self.links[-1].start()
+
+        def change(key: str, value: bytes) -> bytes:
+            if key not in hosts:
+                return value
+            return value.replace(f"{hosts[key]}:{port}".encode(), f"{seen[key]}:{port}".encode())
+
+        self._view = self.store.add_view(self.entries[0].host, self.ports["view"], change)
+        await self._view.start()
+        self.launch(self.entries[-1])
+        await asyncio.sleep(3.0)  # it has asked its seeds for what they know; none is up yet
+
+    def cut(self, is_cut: bool) -> None:
+        """Cut the last entry off from all other entries, or end that."""
+        for link in self.links:
+            link.is_cut = is_cut
+        self.say(f"{self.entries[-1].name} is {'cut off' if is_cut else 'reachable again'}")
+
     async def remove_entry(self) -> None:
         """Start an entry, and remove its machine for good once it is ready."""
         number = len(self.entries) + self.removed
@@ -293,8 +329,11 @@
         """Start everything, and wait until all entries are ready and know all executors."""
         await self.store.server.start()
         self.store.put("op", "config", config(1, self.routes))
+        if self._has_links:
+            await self._start_links()
         for machine in (*self.entries, *self.agents):
-            self.launch(machine)
+            if machine.process is None:
+                self.launch(machine)
         await asyncio.sleep(0.5)
         for executor in self.executors:
             await executor.start()
@@ -324,7 +363,9 @@
                 )
         for executor in self.executors:
             await executor.crash()
-        await self.store.server.stop()
+        for server in (*self.links, self.store.server, self._view):
+            if server is not None:
+                await server.stop()
         self._record.close()
         self._scratch.cleanup()
 
@@ -378,11 +419,15 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def main() -> bool:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGINT, signal.SIGTERM):  # so that no process is left behind
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         return bool(await asyncio.wait_for(check(has_trouble), limit_s))
 
     try:
         is_broken = asyncio.run(main())
-    except (TimeoutError, OSError, AssertionError) as error:
+    except (TimeoutError, OSError, AssertionError, asyncio.CancelledError) as error:
         print(f"the case could not run: {error!r}", file=sys.stderr)
         sys.exit(2)
     sys.exit(1 if is_broken else 0)
--- a/review/standins_3/store.py
+++ b/review/standins_3/store.py
@@ -6,10 +6,13 @@
 import base64
 import json
 import time
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from standins_3.http import Answer, Request, Server
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 READ_S = 0.004
 TRANSACTION_S = 0.008
 MAX_ROWS = 500
@@ -21,11 +24,28 @@
     def __init__(self, host: str, port: int) -> None:
         """Create an empty store."""
         self.version = 0
+        self.is_busy = False  # answers all calls with 503, which means that nothing was done
         self._rows: dict[tuple[str, str], tuple[int, str]] = {}
         self._changes: list[tuple[int, str, str]] = []
         self._changed = asyncio.Event()
         self.listen(host, port)
 
+    def add_view(self, host: str, port: int, change: Callable[[str, bytes], bytes]) -> Server:
+        """Return a server that shows the values of ``entries`` changed, by key, to its callers."""
+
+        async def handle(request: Request) -> Answer | None:
+            answer = await self._handle(request)
+            if answer is None or request.query.get("table") != "entries":
+                return answer
+            rows = answer.body.get("rows", [])
+            for row in rows:
+                if "value" in row:
+                    value = change(row["key"], base64.b64decode(row["value"]))
+                    row["value"] = base64.b64encode(value).decode()
+            return answer
+
+        return Server(host, port, handle)
+
     def listen(self, host: str, port: int) -> None:
         """Serve at an address once ``server`` is started."""
         self.server = Server(host, port, self._handle)
@@ -59,6 +79,11 @@
             self._rows[table, key] = (self.version, value)
         self._changes.append((self.version, table, key))
 
+    def set_busy(self, is_busy: bool) -> None:
+        """Begin or end to turn all calls away, open ones too."""
+        self.is_busy = is_busy
+        self._notify()
+
     def _notify(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
@@ -75,6 +100,8 @@
         return Answer(200, {**fields, "row_version": self.version, "now_ms": now_ms})
 
     async def _handle(self, request: Request) -> Answer | None:
+        if self.is_busy:
+            return Answer(503)
         if request.path == "/v1/rows-get":
             await asyncio.sleep(READ_S)
             return self._get(request.query)
@@ -97,6 +124,8 @@
         await asyncio.sleep(READ_S)
         until_s = time.monotonic() + int(query.get("wait_ms", "0")) / 1000
         while True:
+            if self.is_busy:
+                return Answer(503)
             after = int(query["after"])
             changes = [c for c in self._changes if c[0] > after and c[1] == query["table"]]
             left_s = until_s - time.monotonic()
