--- a/review/standins_4/case.py
+++ b/review/standins_4/case.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 from collections.abc import Awaitable, Callable
@@ -22,6 +23,7 @@
 
 def run_case(folder: Path, deployment: Deployment, play: Play) -> None:
     """Play a case and exit; ``play`` returns how the rule was broken, one line each."""
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # end the processes as on SIGINT
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     sys.exit(asyncio.run(_run(folder, deployment, play, has_trouble)))
 
